build: add the workspace, the design page and the packet and flow packages

The design page states the requirements and the chosen design. The packages units, request and connection hold ids, results, the checked packet view, the flow table and the admission limiter, each with tests. The version and process packages hold the interfaces that the other parts are built against.

--- /dev/null
+++ b/packages/units/include/anvilwalk/units.h
@@ -0,0 +1,11 @@
+#pragma once
+
+// Public header of the units package: strong types for ids and units, results, findings and the clock.
+
+#include <anvilwalk/units/Clock.h>
+#include <anvilwalk/units/Findings.h>
+#include <anvilwalk/units/Hash.h>
+#include <anvilwalk/units/Ids.h>
+#include <anvilwalk/units/Ipv4Endpoint.h>
+#include <anvilwalk/units/Result.h>
+#include <anvilwalk/units/StrongId.h>
--- /dev/null
+++ b/packages/units/include/anvilwalk/units/Hash.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace anvilwalk {
+
+// xxHash64 of a byte sequence. Equal on all balancers.
+std::uint64_t hashBytes(const void* data, std::size_t size, std::uint64_t seed = 0);
+
+inline std::uint64_t hashText(std::string_view text, std::uint64_t seed = 0)
+{
+    return hashBytes(text.data(), text.size(), seed);
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Checks format and lint of all own sources. With file arguments, checks these files only.
+# A file that passed is not linted again until its preprocessed text or the rules change.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ "$#" -gt 0 ]; then
+    files=("$@")
+else
+    mapfile -t files < <(git ls-files --cached --others --exclude-standard \
+        'packages/*.h' 'packages/*.cpp' 'apps/*.h' 'apps/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.h' 'bench/*.cpp' \
+        | grep -v '/generated/')
+fi
+clang-format --dry-run --Werror "${files[@]}"
+
+lint_one() {
+    local file=$1 command key
+    command=$(jq -r --arg file "$PWD/$file" '.[] | select(.file == $file) | .command' build/compile_commands.json)
+    [ -n "$command" ] || { echo "$file is not part of the build."; return 1; }
+    # Same command with -E in place of -c and without the output and the compiler cache.
+    command=$(sed -E 's/^[^ ]*ccache //; s/ -o [^ ]+/ /; s/ -c / -E /' <<<"$command")
+    key=$( (cat .clang-tidy; (cd build && eval "$command" 2>/dev/null)) | sha256sum | cut -d' ' -f1)
+    [ -e "build/lint-passed/$key" ] && return 0
+    clang-tidy -p build --quiet "$file" 2>/dev/null || { echo "clang-tidy failed on $file."; return 1; }
+    touch "build/lint-passed/$key"
+}
+export -f lint_one
+mkdir -p build/lint-passed
+for file in "${files[@]}"; do
+    case "$file" in *.cpp) printf '%s\n' "$file" ;; esac
+done | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+echo "Format and lint are clean in ${#files[@]} files."
