--- a/packages/version/src/ConfigSnapshot.cpp
+++ b/packages/version/src/ConfigSnapshot.cpp
@@ -2,9 +2,10 @@
 
 namespace anvilwalk {
 
-ConfigSnapshot::ConfigSnapshot(ConfigVersion version, std::vector<ServiceConfig> services)
+ConfigSnapshot::ConfigSnapshot(ConfigVersion version, std::vector<ServiceConfig> services, ConfigSource source)
     : m_version(version)
     , m_services(std::move(services))
+    , m_source(std::move(source))
 {
     for (std::size_t index = 0; index < m_services.size(); ++index) {
         m_byId.emplace(m_services[index].id, index);
