process: add the control decisions of a balancer

The daemon needs a CellController that starts alone or with peers, takes the writer's lease and gives a routing state.

--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -3,6 +3,17 @@
 // Public header of the process package: what lives as long as the process.
 
 #include <anvilwalk/process/CellController.h>
+#include <anvilwalk/process/CellTestSwitches.h>
+#include <anvilwalk/process/DoubtAgreement.h>
+#include <anvilwalk/process/EchoGate.h>
+#include <anvilwalk/process/JoinProgress.h>
+#include <anvilwalk/process/Membership.h>
 #include <anvilwalk/process/ObjectStore.h>
 #include <anvilwalk/process/PacketRouter.h>
+#include <anvilwalk/process/RecordExchange.h>
 #include <anvilwalk/process/RoutingState.h>
+#include <anvilwalk/process/SlotClearance.h>
+#include <anvilwalk/process/TableHistory.h>
+#include <anvilwalk/process/TableWriter.h>
+#include <anvilwalk/process/TargetDirectory.h>
+#include <anvilwalk/process/TargetMonitor.h>
--- a/packages/process/include/anvilwalk/process/CellController.h
+++ b/packages/process/include/anvilwalk/process/CellController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <anvilwalk/connection.h>
+#include <anvilwalk/process/CellTestSwitches.h>
 #include <anvilwalk/process/RoutingState.h>
 
 #include <chrono>
@@ -42,6 +43,15 @@
     std::uint32_t busySlots = 0;
 };
 
+// What this balancer saw of a target's flows since the last observation.
+struct TargetObservation {
+    TargetId target;
+    // Opening packets that were repeated without a later packet of the flow.
+    std::uint32_t repeatedOpenings = 0;
+    // Flows that sent a later packet after their opening.
+    std::uint32_t progressedFlows = 0;
+};
+
 // The lease object that names the table writer of a data centre. It saves work and protects nothing.
 struct WriterLease {
     BalancerId holder;
@@ -69,9 +79,13 @@
     std::chrono::milliseconds stopDeadline { 30'000 };
     // Balancers of a data centre that watch the object API.
     std::size_t watchers = 2;
+    // Time between two steps of a target's weight.
+    std::chrono::milliseconds weightStepInterval { 5000 };
+    CellTestSwitches testSwitches {};
 };
 
-// Actions that the process carries out for the controller. Results come back as events.
+// Actions that the process carries out for the controller. Results come back as events. Each FetchRecordsFrom,
+// PushRecordsTo, WriteTable and WriteLease is answered exactly once, if need be with an error.
 struct SendHeartbeat {
     std::vector<Ipv4Endpoint> controlEndpoints;
     peer::Heartbeat heartbeat;
@@ -106,8 +120,11 @@
 struct SetWatching {
     bool watch = false;
 };
-using CellAction
-    = std::variant<SendHeartbeat, FetchStateFrom, FetchRecordsFrom, PushRecordsTo, WriteTable, WriteLease, SetWatching>;
+// Read the table and lease objects again; the answers come back as handleTable and handleLease. Needed after a
+// write without an answer, when a watch reports nothing new.
+struct ReadTable { };
+using CellAction = std::variant<SendHeartbeat, FetchStateFrom, FetchRecordsFrom, PushRecordsTo, WriteTable, WriteLease,
+    SetWatching, ReadTable>;
 
 // All control decisions of a balancer: membership, tables, doubts, joining and stopping. It takes events and
 // returns actions, and holds no sockets, threads or clock. Not thread-safe: the caller serialises the calls.
@@ -125,6 +142,7 @@
     void handleConfig(ConfigSnapshotPointer, MonotonicTime now);
     void handleVmList(const std::vector<VmEntry>&, MonotonicTime now);
     void handleTargetReport(const TargetReport&, MonotonicTime now);
+    void handleTargetObservation(const TargetObservation&, MonotonicTime now);
     void handleStoreReachable(bool reachable, MonotonicTime now);
     void handleLease(const WriterLease&, MonotonicTime now);
     void handleTableWritten(const Result<StoreVersion>&, MonotonicTime now);
@@ -144,7 +162,8 @@
     std::vector<CellAction> takeActions();
     // A new pointer after each change.
     RoutingStatePointer routingState() const;
-    // Last time a live peer showed no newer version than this balancer has; for the packet router.
+    // Last time a live peer showed no newer version than this balancer has; for the packet router. Dated by the
+    // send time of the own heartbeat that the peer echoes, so that heartbeats read late after a pause do not count.
     MonotonicTime lastPeerContact() const;
     // The fabric may send packets here.
     bool ready(MonotonicTime now) const;
--- /dev/null
+++ b/packages/process/src/JoinProgress.cpp
@@ -0,0 +1,153 @@
+#include <anvilwalk/process.h>
+
+#include <algorithm>
+
+namespace anvilwalk {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Peers that know this balancer still have packets under way that they routed without it.
+    constexpr auto fetchDelay = 100ms;
+    constexpr auto fetchRetry = 500ms;
+
+} // namespace
+
+JoinProgress::JoinProgress(const CellControllerOptions& options)
+    : m_options(options)
+{
+}
+
+bool JoinProgress::tick(
+    Membership& membership, const Context& context, MonotonicTime now, std::vector<CellAction>& actions)
+{
+    if (!m_startedAt)
+        m_startedAt = now;
+    if (membership.state() == peer::MEMBER_STATE_LEAVING)
+        return false;
+    if (startAgainIfLost(membership, context, now))
+        return true;
+    if (!m_admitted)
+        return tryAlone(membership, context, now) || tryAdmit(membership, context, now);
+    return !m_settled && trySettle(membership, context, now, actions);
+}
+
+bool JoinProgress::startAgainIfLost(Membership& membership, const Context& context, MonotonicTime now)
+{
+    if (membership.declaredDead()) {
+        startAgain(membership, now);
+        return true;
+    }
+    if (!m_admitted)
+        return false;
+    if (m_alone) {
+        if (membership.members().empty())
+            return false;
+        // Peers came up that this balancer has not been introduced to.
+        startAgain(membership, now);
+        return true;
+    }
+    if (!membership.knewPeers())
+        return false;
+    if (now - membership.contact(context.table, context.config, now) <= m_options.fenceAfter)
+        return false;
+    startAgain(membership, now);
+    return true;
+}
+
+void JoinProgress::startAgain(Membership& membership, MonotonicTime now)
+{
+    membership.startIncarnation(now);
+    m_returned = m_returned || m_admitted;
+    m_admitted = false;
+    m_settled = false;
+    m_alone = false;
+    m_servesAlone = false;
+    m_lostAt = now;
+    m_fetched.clear();
+}
+
+bool JoinProgress::tryAlone(Membership& membership, const Context&, MonotonicTime now)
+{
+    if (!membership.members().empty()) {
+        m_lostAt = now;
+        return false;
+    }
+    const bool mayHavePeers = membership.knewPeers() || membership.expectsPeers();
+    const MonotonicTime since = std::max(m_lostAt, *m_startedAt);
+    if (mayHavePeers && now - since < m_options.serveAloneAfter)
+        return false;
+    m_alone = true;
+    m_admitted = true;
+    m_settled = true;
+    m_servesAlone = membership.knewPeers();
+    membership.setState(peer::MEMBER_STATE_SETTLED);
+    return true;
+}
+
+bool JoinProgress::tryAdmit(Membership& membership, const Context& context, MonotonicTime now)
+{
+    if (membership.members().empty())
+        return false;
+    const bool known = membership.knownToAll(now) && !membership.newerPeer(context.table, context.config);
+    if (!known && !m_options.testSwitches.routeBeforeAdmission)
+        return false;
+    m_admitted = true;
+    m_fetchAt = now + fetchDelay;
+    startRound(context);
+    return true;
+}
+
+void JoinProgress::startRound(const Context& context)
+{
+    ++m_round;
+    m_roundOrder = { context.order.begin(), context.order.end() };
+    m_fetched.clear();
+    m_retryAt.clear();
+}
+
+bool JoinProgress::trySettle(
+    Membership& membership, const Context& context, MonotonicTime now, std::vector<CellAction>& actions)
+{
+    if (now < m_fetchAt)
+        return false;
+    const std::set<BalancerId> order(context.order.begin(), context.order.end());
+    // Without a member of the round's order, this balancer may own slots that it has not asked for.
+    if (!std::includes(order.begin(), order.end(), m_roundOrder.begin(), m_roundOrder.end()))
+        startRound(context);
+    bool complete = true;
+    for (const auto& [id, member] : membership.members()) {
+        if (m_fetched.contains(id) || m_options.testSwitches.settleWithoutFetch)
+            continue;
+        complete = false;
+        const auto retry = m_retryAt.find(id);
+        if (m_outstanding.contains(id) || (retry != m_retryAt.end() && now < retry->second))
+            continue;
+        FetchRecordsFrom fetch { .peer = id, .controlEndpoint = member.controlEndpoint, .request = {} };
+        fetch.request.set_requester(m_options.self.value());
+        for (const BalancerId& name : m_roundOrder)
+            fetch.request.add_order_members(name.value());
+        m_outstanding[id] = m_round;
+        actions.emplace_back(std::move(fetch));
+    }
+    if (!complete)
+        return false;
+    m_settled = true;
+    membership.setState(peer::MEMBER_STATE_SETTLED);
+    return true;
+}
+
+bool JoinProgress::handleFetched(const BalancerId& peer, bool ok, MonotonicTime now)
+{
+    const auto outstanding = m_outstanding.find(peer);
+    const bool present = outstanding != m_outstanding.end() && outstanding->second == m_round;
+    m_outstanding.erase(peer);
+    if (ok && present)
+        m_fetched.insert(peer);
+    else
+        m_retryAt[peer] = now + fetchRetry;
+    return ok;
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/process/src/RecordExchange.cpp
@@ -0,0 +1,327 @@
+#include <anvilwalk/process.h>
+
+#include <algorithm>
+
+namespace anvilwalk {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // The packet threads may route by the previous state for a moment after a new one is published.
+    constexpr auto handInDelay = 50ms;
+    constexpr auto retryDelay = 200ms;
+    // A push without an answer for this long is sent again.
+    constexpr auto pushTimeout = 2000ms;
+    // About 80 KB a request, below the usual limit of 4 MB for a message by far.
+    constexpr std::size_t recordsPerPush = 2000;
+
+    // Simple conversion until the shared codec of the router lands.
+    peer::FlowRecordEntry toEntry(const FlowEntry& flow, MonotonicTime now)
+    {
+        peer::FlowRecordEntry entry;
+        entry.set_source_address(flow.key.source.value);
+        entry.set_destination_address(flow.key.destination.value);
+        entry.set_source_port(flow.key.sourcePort);
+        entry.set_destination_port(flow.key.destinationPort);
+        entry.set_protocol(static_cast<std::uint32_t>(flow.key.protocol));
+        entry.set_service(flow.record.service.value());
+        entry.set_slot(flow.record.slot.value());
+        entry.set_target(flow.record.target.value());
+        entry.set_closed(flow.record.closed);
+        const auto age = static_cast<std::int32_t>(FlowTable::toMilliseconds(now) - flow.record.lastSeenMs);
+        entry.set_idle_ms(static_cast<std::uint32_t>(std::max(age, 0)));
+        return entry;
+    }
+
+    FlowEntry fromEntry(const peer::FlowRecordEntry& entry, MonotonicTime now)
+    {
+        FlowEntry flow;
+        flow.key = { .source = { entry.source_address() },
+            .destination = { entry.destination_address() },
+            .sourcePort = static_cast<std::uint16_t>(entry.source_port()),
+            .destinationPort = static_cast<std::uint16_t>(entry.destination_port()),
+            .protocol = static_cast<Protocol>(entry.protocol()) };
+        flow.record.target = TargetId(entry.target());
+        flow.record.service = ServiceId(entry.service());
+        flow.record.slot = SlotIndex(static_cast<std::uint16_t>(entry.slot()));
+        flow.record.kind = FlowRecordKind::Confirmed;
+        flow.record.closed = entry.closed();
+        flow.record.openedMs = FlowTable::toMilliseconds(now) - entry.idle_ms();
+        return flow;
+    }
+
+    MonotonicTime lastPacket(const peer::FlowRecordEntry& entry, MonotonicTime now)
+    {
+        return now - std::chrono::milliseconds(entry.idle_ms());
+    }
+
+    SlotKey keyOf(const FlowRecord& record) { return { record.service, record.slot }; }
+
+    std::vector<const RoutingMember*> firstTwo(const RoutingState& state, const SlotKey& key)
+    {
+        std::vector<const RoutingMember*> order = rankMembers(state, key.first, key.second);
+        order.resize(std::min<std::size_t>(order.size(), 2));
+        return order;
+    }
+
+    bool holds(const std::vector<const RoutingMember*>& order, const BalancerId& id)
+    {
+        return std::any_of(order.begin(), order.end(), [&](const RoutingMember* member) { return member->id == id; });
+    }
+
+    // Slots that are not stable, by the table or by a doubt.
+    std::set<SlotKey> unstableSlots(const RoutingState& state)
+    {
+        std::set<SlotKey> keys;
+        if (!state.table)
+            return keys;
+        for (const auto& [service, slots] : state.table->services()) {
+            for (const auto& [slot, exception] : slots.exceptions)
+                keys.insert({ service, slot });
+            for (std::uint16_t index = 0; index < slots.slots.size() && !state.doubts.empty(); ++index) {
+                if (state.doubts.contains(slots.slots[index]))
+                    keys.insert({ service, SlotIndex(index) });
+            }
+        }
+        return keys;
+    }
+
+} // namespace
+
+RecordExchange::RecordExchange(const CellControllerOptions& options, std::shared_ptr<FlowTable> flows)
+    : m_options(options)
+    , m_flows(std::move(flows))
+{
+}
+
+std::uint64_t RecordExchange::handIn(std::set<SlotKey> slots, MonotonicTime openedSince, MonotonicTime now)
+{
+    Job job;
+    job.slots = std::move(slots);
+    job.openedSince = openedSince;
+    job.due = now + handInDelay;
+    m_jobs.emplace(m_nextJob, std::move(job));
+    return m_nextJob++;
+}
+
+void RecordExchange::syncChange(const RoutingState& before, const RoutingState& after, MonotonicTime now)
+{
+    if (m_options.testSwitches.skipRecordSync)
+        return;
+    Job job;
+    for (const SlotKey& key : unstableSlots(after)) {
+        const auto oldOrder = firstTwo(before, key);
+        if (!holds(oldOrder, m_options.self))
+            continue;
+        const auto newOrder = firstTwo(after, key);
+        const bool changed = std::any_of(newOrder.begin(), newOrder.end(),
+            [&](const RoutingMember* member) { return !holds(oldOrder, member->id); });
+        if (!changed)
+            continue;
+        job.slots.insert(key);
+        for (const RoutingMember* member : oldOrder)
+            job.holders[key].insert(member->id);
+    }
+    if (job.slots.empty())
+        return;
+    // An unsettled balancer fetches the records itself, but not from one that leaves meanwhile.
+    job.toUnsettled = after.selfLeaving;
+    job.due = now;
+    m_jobs.emplace(m_nextJob++, std::move(job));
+}
+
+void RecordExchange::pushAll(const RoutingState& state, MonotonicTime now)
+{
+    Job job;
+    job.slots = unstableSlots(state);
+    job.due = now;
+    if (!job.slots.empty() && !m_options.testSwitches.skipRecordSync)
+        m_jobs.emplace(m_nextJob++, std::move(job));
+}
+
+void RecordExchange::restart(MonotonicTime now)
+{
+    for (auto& [number, job] : m_jobs) {
+        job.outstanding.clear();
+        job.due = std::max(job.due, now);
+    }
+}
+
+void RecordExchange::handlePushed(std::uint64_t ticket, bool ok, MonotonicTime now)
+{
+    for (auto& [number, job] : m_jobs) {
+        if (job.outstanding.erase(ticket) == 0)
+            continue;
+        if (!ok) {
+            job.outstanding.clear();
+            job.due = now + retryDelay;
+            return;
+        }
+        if (job.outstanding.empty())
+            m_jobs.erase(number);
+        return;
+    }
+}
+
+void RecordExchange::tick(const RoutingState& state, MonotonicTime now, std::vector<CellAction>& actions)
+{
+    for (auto entry = m_jobs.begin(); entry != m_jobs.end();) {
+        const auto current = entry++;
+        Job& job = current->second;
+        if (!job.outstanding.empty()) {
+            if (now - job.sentAt > pushTimeout) {
+                job.outstanding.clear();
+                job.due = now;
+            }
+            continue;
+        }
+        if (now < job.due)
+            continue;
+        send(job, collect(job, state, now), now, actions);
+        if (job.outstanding.empty())
+            m_jobs.erase(current);
+    }
+}
+
+RecordExchange::Batches RecordExchange::collect(const Job& job, const RoutingState& state, MonotonicTime now)
+{
+    Batches batches;
+    std::vector<FlowEntry> own;
+    std::map<SlotKey, std::vector<const RoutingMember*>> receiversOf;
+    const std::uint32_t sinceMs = FlowTable::toMilliseconds(job.openedSince.value_or(MonotonicTime()));
+    m_flows->visit([&](const FlowEntry& flow) {
+        const SlotKey key = keyOf(flow.record);
+        const bool observed = flow.record.kind == FlowRecordKind::Observed;
+        if (!job.slots.contains(key) || (observed && !job.openedSince))
+            return;
+        if (job.openedSince && static_cast<std::int32_t>(flow.record.openedMs - sinceMs) < 0)
+            return;
+        const auto found = receiversOf.find(key);
+        const auto& members
+            = found != receiversOf.end() ? found->second : receiversOf[key] = receivers(job, state, key);
+        for (const RoutingMember* member : members) {
+            if (member->id != m_options.self)
+                batches[member->id].push_back(toEntry(flow, now));
+            else if (observed)
+                own.push_back(flow);
+        }
+    });
+    for (FlowEntry& flow : own) {
+        flow.record.kind = FlowRecordKind::Confirmed;
+        m_flows->insert(flow.key, flow.key.hash(), flow.record, now);
+    }
+    return batches;
+}
+
+std::vector<const RoutingMember*> RecordExchange::receivers(
+    const Job& job, const RoutingState& state, const SlotKey& key) const
+{
+    std::vector<const RoutingMember*> members = firstTwo(state, key);
+    const auto holders = job.holders.find(key);
+    std::erase_if(members, [&](const RoutingMember* member) {
+        const bool holdsAlready = holders != job.holders.end() && holders->second.contains(member->id);
+        return holdsAlready || (!member->settled && !job.toUnsettled);
+    });
+    return members;
+}
+
+void RecordExchange::send(Job& job, const Batches& batches, MonotonicTime now, std::vector<CellAction>& actions)
+{
+    job.sentAt = now;
+    for (const auto& [id, records] : batches) {
+        for (std::size_t first = 0; first < records.size(); first += recordsPerPush) {
+            PushRecordsTo push { .peer = id, .controlEndpoint = {}, .ticket = m_nextTicket++, .request = {} };
+            push.request.set_sender(m_options.self.value());
+            const std::size_t last = std::min(records.size(), first + recordsPerPush);
+            for (std::size_t i = first; i < last; ++i)
+                *push.request.add_records() = records[i];
+            job.outstanding.insert(push.ticket);
+            actions.emplace_back(std::move(push));
+        }
+    }
+}
+
+peer::FetchRecordsResponse RecordExchange::answerFetch(
+    const RoutingState& state, const peer::FetchRecordsRequest& request, MonotonicTime now) const
+{
+    RoutingState order;
+    for (const std::string& name : request.order_members()) {
+        order.members.push_back(
+            { .id = BalancerId(name), .key = hashText(name), .relayEndpoint = {}, .settled = true });
+    }
+    const BalancerId requester(request.requester());
+    std::set<SlotKey> wanted;
+    for (const SlotKey& key : unstableSlots(state)) {
+        if (holds(firstTwo(order, key), requester))
+            wanted.insert(key);
+    }
+    peer::FetchRecordsResponse response;
+    m_flows->visit([&](const FlowEntry& flow) {
+        if (flow.record.kind == FlowRecordKind::Confirmed && wanted.contains(keyOf(flow.record)))
+            *response.add_records() = toEntry(flow, now);
+    });
+    return response;
+}
+
+peer::PushRecordsResponse RecordExchange::answerPush(const peer::PushRecordsRequest& request, MonotonicTime now)
+{
+    peer::PushRecordsResponse response;
+    for (const peer::FlowRecordEntry& entry : request.records()) {
+        const FlowEntry flow = fromEntry(entry, now);
+        const auto result = m_flows->insert(flow.key, flow.key.hash(), flow.record, lastPacket(entry, now));
+        if (result.kind == InsertResult::Kind::Full)
+            response.set_refused(response.refused() + 1);
+        else
+            response.set_stored(response.stored() + 1);
+    }
+    return response;
+}
+
+void RecordExchange::merge(const peer::FetchRecordsResponse& response, MonotonicTime now)
+{
+    for (const peer::FlowRecordEntry& entry : response.records()) {
+        const FlowEntry flow = fromEntry(entry, now);
+        const std::uint64_t hash = flow.key.hash();
+        const auto own = m_flows->find(flow.key, hash);
+        const MonotonicTime seen = lastPacket(entry, now);
+        if (own && own->kind == FlowRecordKind::Confirmed && own->target != flow.record.target) {
+            const auto later = static_cast<std::int32_t>(own->lastSeenMs - FlowTable::toMilliseconds(seen));
+            if (later > 0 || (later == 0 && own->target < flow.record.target))
+                continue;
+        }
+        m_flows->assign(flow.key, hash, flow.record, seen);
+    }
+}
+
+void RecordExchange::dropSettled(const std::set<SlotKey>& slots)
+{
+    if (slots.empty())
+        return;
+    m_flows->eraseIf([&](const FlowEntry& flow) {
+        return flow.record.kind == FlowRecordKind::Confirmed && slots.contains(keyOf(flow.record));
+    });
+}
+
+void RecordExchange::dropForeign(const RoutingState& state)
+{
+    std::set<SlotKey> foreign;
+    for (const SlotKey& key : unstableSlots(state)) {
+        // Unsettled balancers at the head of the order still rely on the first settled one.
+        std::size_t needed = 0;
+        bool settledSeen = false;
+        bool own = false;
+        for (const RoutingMember* member : rankMembers(state, key.first, key.second)) {
+            if (needed >= 2 && settledSeen)
+                break;
+            ++needed;
+            settledSeen = settledSeen || member->settled;
+            own = own || member->id == m_options.self;
+        }
+        if (!own)
+            foreign.insert(key);
+    }
+    dropSettled(foreign);
+}
+
+} // namespace anvilwalk
