process: test the control decisions under faults

Fixes found so: fetch new versions from peers in turn, admit a joiner only when a settled balancer knows it, count targets that look bad before they are in doubt.

--- a/packages/process/include/anvilwalk/process/DoubtAgreement.h
+++ b/packages/process/include/anvilwalk/process/DoubtAgreement.h
@@ -2,6 +2,7 @@
 
 #include <anvilwalk/process/Membership.h>
 #include <anvilwalk/process/TableHistory.h>
+#include <anvilwalk/process/TargetMonitor.h>
 
 #include <functional>
 #include <set>
@@ -14,10 +15,10 @@
 public:
     explicit DoubtAgreement(const CellTestSwitches&);
 
-    // Takes part in what the peers suspect and apply. The store is down if no live balancer reaches it.
+    // Takes part in what the peers doubt and apply. The store is down if no live balancer reaches it.
     // Returns true if the applied set grew.
-    bool update(const std::set<TargetId>& ownSuspects, const Membership&, const TableSnapshotPointer&, bool storeDown,
-        MonotonicTime now);
+    bool update(
+        const TargetMonitor&, const Membership&, const TableSnapshotPointer&, bool storeDown, MonotonicTime now);
     // Recent openings of the applied set are handed in, so that its digest may be echoed.
     void confirm(std::uint64_t digest);
     // Returns true if further doubts took effect.
@@ -37,9 +38,10 @@
 
 private:
     void add(TargetId, const TableSnapshot&, MonotonicTime now);
+    void addDoubts(const TargetMonitor&, const Membership&, const TableSnapshot&, MonotonicTime now);
     void shrink(const std::function<bool(TargetId)>& isOver);
     // At most half of the targets of a service are taken out.
-    bool withinLimit(TargetId, const TableSnapshot&) const;
+    bool withinLimit(TargetId, const TableSnapshot&, const std::set<TargetId>& alsoBad = {}) const;
 
     CellTestSwitches m_switches;
     std::map<TargetId, MonotonicTime> m_applied;
--- a/packages/process/include/anvilwalk/process/JoinProgress.h
+++ b/packages/process/include/anvilwalk/process/JoinProgress.h
@@ -26,8 +26,9 @@
     // Returns true if the answer belongs to the present round.
     bool handleFetched(const BalancerId&, bool ok, MonotonicTime now);
 
-    // The balancer may route packets.
     bool admitted() const { return m_admitted; }
+    // The balancer may route packets. An unsettled one stops again when it hears of a peer that does not know it.
+    bool mayRoute() const { return m_admitted && (m_settled || m_knownToAll); }
     bool settled() const { return m_settled; }
     // Peers were known and all are silent for so long that this balancer serves by what it knows.
     bool servesAlone() const { return m_servesAlone; }
@@ -46,10 +47,12 @@
     std::optional<MonotonicTime> m_startedAt;
     bool m_admitted = false;
     bool m_settled = false;
+    bool m_knownToAll = false;
     bool m_alone = false;
     bool m_servesAlone = false;
     bool m_returned = false;
     MonotonicTime m_lostAt {};
+    std::optional<MonotonicTime> m_firstPeerAt;
     MonotonicTime m_fetchAt {};
     std::uint64_t m_round = 0;
     std::set<BalancerId> m_roundOrder;
--- a/packages/process/include/anvilwalk/process/Membership.h
+++ b/packages/process/include/anvilwalk/process/Membership.h
@@ -63,10 +63,12 @@
     bool allEchoedDoubts(std::uint64_t digest) const;
     // Every other live balancer knows the present incarnation of this one.
     bool knownToAll(MonotonicTime now) const;
+    // A settled balancer, which knows all others, knows the present incarnation of this one.
+    bool knownToSettled() const;
     // Every other live balancer knows that this one is leaving.
     bool leavingKnownToAll() const;
-    // A live peer shows a higher version than the given ones.
-    const Member* newerPeer(TableVersion, ConfigVersion) const;
+    // Live peers that show a higher version than the given ones.
+    std::vector<const Member*> newerPeers(TableVersion, ConfigVersion) const;
 
     // Latest time at which some live peer, that shows no newer version than the given ones, has certainly heard
     // this balancer. Never later than now.
--- a/packages/process/include/anvilwalk/process/TargetMonitor.h
+++ b/packages/process/include/anvilwalk/process/TargetMonitor.h
@@ -22,6 +22,8 @@
 
     // Targets in doubt by what this balancer knows.
     const std::set<TargetId>& doubted() const { return m_doubted; }
+    // Targets that look bad at present, in doubt or not yet.
+    std::set<TargetId> suspected() const;
     bool isDraining(TargetId) const;
     // Wanted share in thousandths: 1000 for a target with a usual load, less for one that is loaded above the
     // mean of its service, half for one that sheds.
--- a/packages/process/src/CellControllerImplementation.cpp
+++ b/packages/process/src/CellControllerImplementation.cpp
@@ -164,7 +164,7 @@
 
 void CellController::Implementation::tickDoubts(MonotonicTime now)
 {
-    if (m_doubts.update(m_monitor.doubted(), m_membership, m_history.current(), storeDown(now), now)) {
+    if (m_doubts.update(m_monitor, m_membership, m_history.current(), storeDown(now), now)) {
         rebuildState(now);
         const std::uint64_t handIn
             = m_records.handIn(m_doubts.slots(*m_history.current()), now - m_options.openingRetryWindow, now);
@@ -208,11 +208,13 @@
 
 void CellController::Implementation::followVersions(MonotonicTime now)
 {
-    const Member* newer = m_membership.newerPeer(m_history.version(), configVersion());
-    if (!newer || now < m_nextFetch)
+    const auto newer = m_membership.newerPeers(m_history.version(), configVersion());
+    if (newer.empty() || now < m_nextFetch)
         return;
     m_nextFetch = now + fetchRetry;
-    FetchStateFrom fetch { .peer = newer->id, .controlEndpoint = newer->controlEndpoint, .request = {} };
+    // Peers in turn, because one may be behind a cut.
+    const Member& member = *newer[m_fetches++ % newer.size()];
+    FetchStateFrom fetch { .peer = member.id, .controlEndpoint = member.controlEndpoint, .request = {} };
     fetch.request.set_known_config_version(configVersion().value());
     fetch.request.set_known_table_version(m_history.version().value());
     m_actions.emplace_back(std::move(fetch));
@@ -307,7 +309,7 @@
     m_state = buildState();
     m_records.syncChange(*before, *m_state, now);
     auto published = std::make_shared<RoutingState>(*m_state);
-    if (!m_join.admitted())
+    if (!m_join.mayRoute())
         published->table = nullptr;
     m_published = std::move(published);
 }
--- a/packages/process/src/CellControllerImplementation.h
+++ b/packages/process/src/CellControllerImplementation.h
@@ -83,6 +83,7 @@
     MonotonicTime m_watchingSince {};
     std::optional<std::pair<std::uint64_t, std::uint64_t>> m_doubtHandIn;
     MonotonicTime m_nextFetch {};
+    std::size_t m_fetches = 0;
     MonotonicTime m_nextPlan {};
     MonotonicTime m_weightsChangedAt = MonotonicTime(std::chrono::hours(-1));
     MonotonicTime m_nextHeartbeat {};
--- a/packages/process/src/DoubtAgreement.cpp
+++ b/packages/process/src/DoubtAgreement.cpp
@@ -18,7 +18,7 @@
 {
 }
 
-bool DoubtAgreement::update(const std::set<TargetId>& ownSuspects, const Membership& membership,
+bool DoubtAgreement::update(const TargetMonitor& monitor, const Membership& membership,
     const TableSnapshotPointer& table, bool storeDown, MonotonicTime now)
 {
     if (!table)
@@ -29,12 +29,7 @@
             add(target, *table, now);
     }
     if (storeDown) {
-        for (const auto& [id, member] : membership.members()) {
-            for (const TargetId target : member.suspects)
-                add(target, *table, now);
-        }
-        for (const TargetId target : ownSuspects)
-            add(target, *table, now);
+        addDoubts(monitor, membership, *table, now);
     } else {
         // A doubt that never took effect moved no flow, so that it may end without a table.
         shrink([&](TargetId target) { return !inEffect(target) && !withinLimit(target, *table); });
@@ -43,6 +38,21 @@
         m_applied.begin(), m_applied.end(), [&](const auto& entry) { return !before.contains(entry.first); });
 }
 
+// Adds what this balancer and its peers doubt, unless more than half of a service's targets look bad from here.
+void DoubtAgreement::addDoubts(
+    const TargetMonitor& monitor, const Membership& membership, const TableSnapshot& table, MonotonicTime now)
+{
+    std::set<TargetId> doubts = monitor.doubted();
+    for (const auto& [id, member] : membership.members())
+        doubts.insert(member.suspects.begin(), member.suspects.end());
+    std::set<TargetId> bad = monitor.suspected();
+    bad.insert(doubts.begin(), doubts.end());
+    for (const TargetId target : doubts) {
+        if (withinLimit(target, table, bad))
+            add(target, table, now);
+    }
+}
+
 // Removes applied doubts. What was handed in for the whole set is handed in for the rest.
 void DoubtAgreement::shrink(const std::function<bool(TargetId)>& isOver)
 {
@@ -84,7 +94,7 @@
     return m_inEffect.size() > before;
 }
 
-bool DoubtAgreement::withinLimit(TargetId target, const TableSnapshot& table) const
+bool DoubtAgreement::withinLimit(TargetId target, const TableSnapshot& table, const std::set<TargetId>& alsoBad) const
 {
     for (const auto& [service, slots] : table.services()) {
         if (!slots.findTarget(target))
@@ -95,7 +105,7 @@
             if (entry.leaving)
                 continue;
             ++staying;
-            if (m_applied.contains(id))
+            if (m_applied.contains(id) || alsoBad.contains(id))
                 ++doubted;
         }
         return doubted * 2 <= staying || m_switches.removeAnyNumber;
--- a/packages/process/src/JoinProgress.cpp
+++ b/packages/process/src/JoinProgress.cpp
@@ -28,9 +28,13 @@
         return false;
     if (startAgainIfLost(membership, context, now))
         return true;
+    const bool wasKnown
+        = std::exchange(m_knownToAll, membership.knownToAll(now) || m_options.testSwitches.routeBeforeAdmission);
     if (!m_admitted)
         return tryAlone(membership, context, now) || tryAdmit(membership, context, now);
-    return !m_settled && trySettle(membership, context, now, actions);
+    if (m_settled)
+        return false;
+    return trySettle(membership, context, now, actions) || wasKnown != m_knownToAll;
 }
 
 bool JoinProgress::startAgainIfLost(Membership& membership, const Context& context, MonotonicTime now)
@@ -65,6 +69,7 @@
     m_alone = false;
     m_servesAlone = false;
     m_lostAt = now;
+    m_firstPeerAt.reset();
     m_fetched.clear();
 }
 
@@ -74,6 +79,7 @@
         m_lostAt = now;
         return false;
     }
+    m_firstPeerAt.reset();
     const bool mayHavePeers = membership.knewPeers() || membership.expectsPeers();
     const MonotonicTime since = std::max(m_lostAt, *m_startedAt);
     if (mayHavePeers && now - since < m_options.serveAloneAfter)
@@ -90,8 +96,13 @@
 {
     if (membership.members().empty())
         return false;
-    const bool known = membership.knownToAll(now) && !membership.newerPeer(context.table, context.config);
-    if (!known && !m_options.testSwitches.routeBeforeAdmission)
+    if (!m_firstPeerAt)
+        m_firstPeerAt = now;
+    // Peers that join at the same time may not know all others yet. Without a settled one after the time in which
+    // each live balancer is heard, there is none.
+    const bool coldStart = now - *m_firstPeerAt > m_options.deadAfter;
+    const bool introduced = membership.knownToSettled() || coldStart || m_options.testSwitches.routeBeforeAdmission;
+    if (!introduced || !m_knownToAll || !membership.newerPeers(context.table, context.config).empty())
         return false;
     m_admitted = true;
     m_fetchAt = now + fetchDelay;
@@ -110,7 +121,7 @@
 bool JoinProgress::trySettle(
     Membership& membership, const Context& context, MonotonicTime now, std::vector<CellAction>& actions)
 {
-    if (now < m_fetchAt)
+    if (now < m_fetchAt || !m_knownToAll)
         return false;
     const std::set<BalancerId> order(context.order.begin(), context.order.end());
     // Without a member of the round's order, this balancer may own slots that it has not asked for.
--- a/packages/process/src/Membership.cpp
+++ b/packages/process/src/Membership.cpp
@@ -267,6 +267,13 @@
     });
 }
 
+bool Membership::knownToSettled() const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [](const auto& entry) {
+        return entry.second.state == peer::MEMBER_STATE_SETTLED && entry.second.echoedSelf.has_value();
+    });
+}
+
 bool Membership::leavingKnownToAll() const
 {
     return std::all_of(m_members.begin(), m_members.end(), [](const auto& entry) {
@@ -274,17 +281,14 @@
     });
 }
 
-const Member* Membership::newerPeer(TableVersion table, ConfigVersion config) const
+std::vector<const Member*> Membership::newerPeers(TableVersion table, ConfigVersion config) const
 {
-    const Member* newest = nullptr;
+    std::vector<const Member*> newer;
     for (const auto& [id, member] : m_members) {
-        const bool newer = member.shownTable > table || member.config > config;
-        if (!newer || !member.heardAt)
-            continue;
-        if (!newest || std::pair(member.shownTable, member.config) > std::pair(newest->shownTable, newest->config))
-            newest = &member;
+        if (member.shownTable > table || member.config > config)
+            newer.push_back(&member);
     }
-    return newest;
+    return newer;
 }
 
 MonotonicTime Membership::contact(TableVersion table, ConfigVersion config, MonotonicTime now)
--- a/packages/process/src/TargetDirectory.cpp
+++ b/packages/process/src/TargetDirectory.cpp
@@ -70,12 +70,14 @@
                 .weight = target.weight });
         }
     }
+    const std::set<TargetId> suspected = monitor.suspected();
     for (KnownTarget& target : targets) {
         const TableTarget* entry = findInTable(table, target);
         if (!entry)
             continue;
         // A target that says it drains may mislead, so that the rules for doubts apply to it.
         target.doubted = suspects.contains(entry->id) || monitor.isDraining(entry->id);
+        target.suspected = suspected.contains(entry->id);
         target.weight = target.weight * monitor.wantedShare(entry->id) / 1000;
     }
     return targets;
--- a/packages/process/src/TargetMonitor.cpp
+++ b/packages/process/src/TargetMonitor.cpp
@@ -170,6 +170,16 @@
     }
 }
 
+std::set<TargetId> TargetMonitor::suspected() const
+{
+    std::set<TargetId> ids = m_doubted;
+    for (const auto& [id, state] : m_targets) {
+        if (state.oneBadSince)
+            ids.insert(id);
+    }
+    return ids;
+}
+
 bool TargetMonitor::isDraining(TargetId id) const
 {
     const auto found = m_targets.find(id);
--- a/packages/version/include/anvilwalk/version/TablePlanner.h
+++ b/packages/version/include/anvilwalk/version/TablePlanner.h
@@ -20,6 +20,9 @@
     bool leaving = false;
     // Health and own observation speak against the target.
     bool doubted = false;
+    // The target looks bad, but not for long enough for a doubt. Counts where more than half of a service's targets
+    // look bad, because a failing measurement does not reach all targets at the same time.
+    bool suspected = false;
     // Wanted share in thousandths of a full target.
     std::uint32_t weight = 1000;
 };
--- a/packages/version/src/ServicePlan.cpp
+++ b/packages/version/src/ServicePlan.cpp
@@ -56,8 +56,7 @@
         TableTarget& target = found->second;
         m_known.insert(target.id);
         m_wantedWeights[target.id] = known.weight;
-        if (known.doubted)
-            m_doubted.insert(target.id);
+        noteHealth(target.id, known);
         if (target.leaving != known.leaving || target.healthUrl != known.healthUrl)
             m_changed = true;
         target.leaving = known.leaving;
@@ -86,9 +85,16 @@
             .weight = m_isNew ? known.weight : 0 });
     m_known.insert(id);
     m_wantedWeights[id] = known.weight;
+    noteHealth(id, known);
+    m_changed = true;
+}
+
+void ServicePlan::noteHealth(TargetId id, const KnownTarget& known)
+{
     if (known.doubted)
         m_doubted.insert(id);
-    m_changed = true;
+    if (known.doubted || known.suspected)
+        m_suspected.insert(id);
 }
 
 // If more than half of the targets look bad, the measurement is more likely wrong than the targets.
--- a/packages/version/src/ServicePlan.h
+++ b/packages/version/src/ServicePlan.h
@@ -18,6 +18,7 @@
 private:
     void mergeTargets();
     void addTarget(const KnownTarget&);
+    void noteHealth(TargetId, const KnownTarget&);
     void suspectDoubts();
     void setWeights();
     std::uint32_t nextWeight(const TableTarget&, std::uint32_t wanted) const;
@@ -42,6 +43,8 @@
     bool m_isNew;
     bool m_changed = false;
     absl::flat_hash_set<TargetId> m_doubted;
+    // Targets that look bad, in doubt or not.
+    absl::flat_hash_set<TargetId> m_suspected;
     absl::flat_hash_set<TargetId> m_known;
     std::map<TargetId, std::uint32_t> m_wantedWeights;
 };
--- a/tests/fakes/CellHarness.cpp
+++ b/tests/fakes/CellHarness.cpp
@@ -11,6 +11,7 @@
     constexpr auto stepTime = 10ms;
     constexpr auto tickEvery = 50ms;
     constexpr auto reportEvery = 500ms;
+    constexpr auto watchCheckEvery = 500ms;
     // Each balancer carries its number in its addresses.
     constexpr std::uint32_t addressBase = 0x7f000100;
 
@@ -160,6 +161,8 @@
         event.run();
     }
     m_now = target;
+    if (m_now >= m_nextWatchCheck)
+        retryWatches();
     if (m_now >= m_nextReports) {
         m_nextReports = m_now + reportEvery;
         for (const auto& [name, entry] : m_balancers) {
@@ -232,7 +235,7 @@
         const peer::FetchStateResponse response = peer.answerFetchState(request);
         // The harness passes the configuration itself in place of its text.
         const ConfigSnapshotPointer config = to->controller->routingState()->config;
-        deliver(from, latency(), [this, response, config](CellController& c) {
+        deliver(from, latency() + from.fetchDelay, [this, response, config](CellController& c) {
             c.handleConfig(config, m_now);
             if (response.has_table())
                 c.handleTable(response.table(), StoreVersion(), m_now);
@@ -355,6 +358,17 @@
     });
 }
 
+void CellHarness::retryWatches()
+{
+    m_nextWatchCheck = m_now + watchCheckEvery;
+    for (const auto& [name, entry] : m_balancers) {
+        const bool reached = storeReachable(*entry);
+        if (!entry->alive || !entry->watching || reached == std::exchange(entry->reachedStore, reached))
+            continue;
+        readStore(*entry);
+    }
+}
+
 void CellHarness::notifyWatchers()
 {
     for (const auto& [name, entry] : m_balancers) {
--- a/tests/fakes/CellHarness.h
+++ b/tests/fakes/CellHarness.h
@@ -43,6 +43,10 @@
     bool paused = false;
     bool watching = false;
     bool cutFromStore = false;
+    // Whether the last attempt to watch the object API reached it.
+    bool reachedStore = true;
+    // Time that fetching the state of a peer takes in addition.
+    std::chrono::milliseconds fetchDelay {};
     // Events that arrived during a pause.
     std::vector<std::function<void()>> delayed;
     // Highest table version that it routed by.
@@ -132,6 +136,8 @@
     Result<StoreVersion> storeLease(const WriteLease&);
     void readStore(FakeBalancer&);
     void notifyWatchers();
+    // Watches break when the object API goes down and start again when it is back.
+    void retryWatches();
     bool storeReachable(const FakeBalancer&) const;
 
     pcg32 m_random;
@@ -147,6 +153,7 @@
     std::vector<VmEntry> m_vmList;
     std::map<TargetId, TargetReport> m_reports;
     MonotonicTime m_nextReports {};
+    MonotonicTime m_nextWatchCheck {};
 };
 
 } // namespace anvilwalk::fakes
