--- a/packages/version/src/ServicePlan.cpp
+++ b/packages/version/src/ServicePlan.cpp
@@ -102,9 +102,9 @@
 {
     const auto staying = std::count_if(
         m_slots.targets.begin(), m_slots.targets.end(), [](const auto& entry) { return !entry.second.leaving; });
-    const auto doubted = std::count_if(
-        m_doubted.begin(), m_doubted.end(), [&](TargetId id) { return !m_slots.targets.at(id).leaving; });
-    if (doubted * 2 > staying && !m_options.removeAnyNumber)
+    const auto bad = std::count_if(
+        m_suspected.begin(), m_suspected.end(), [&](TargetId id) { return !m_slots.targets.at(id).leaving; });
+    if (bad * 2 > staying && !m_options.removeAnyNumber)
         m_doubted.clear();
 }
 
