router: add SlotRouter, its counters and the codec for flow records

The daemon needs packet decisions. SlotRouter forwards stable slots by the table and sends all other packets through owner and backup. It is not tested yet. FlowTable gets observe (one lock for an opening packet) and hasRoom.

--- a/packages/connection/include/anvilwalk/connection/FlowRecord.h
+++ b/packages/connection/include/anvilwalk/connection/FlowRecord.h
@@ -22,7 +22,8 @@
     FlowRecordKind kind = FlowRecordKind::Observed;
     // The client sent FIN or RST. The record lingers so that a late packet cannot join a new flow.
     bool closed = false;
-    // Milliseconds on the clock of the flow table that holds the record.
+    // Milliseconds on the clock of the flow table that holds the record. For an observed flow, the time of its
+    // last opening packet; for a confirmed one, of the last confirmation.
     std::uint32_t openedMs = 0;
     std::uint32_t lastSeenMs = 0;
 };
--- a/packages/connection/include/anvilwalk/connection/FlowTable.h
+++ b/packages/connection/include/anvilwalk/connection/FlowTable.h
@@ -58,6 +58,13 @@
     // Sets the target of a flow, whether or not a record exists. For a confirmation from a backup.
     InsertResult assign(const FlowKey&, std::uint64_t hash, const FlowRecord&, MonotonicTime now);
 
+    // Notes an opening packet of a stable slot. Adds the record, or marks the existing one as opened now and not
+    // closed, and keeps its kind. Inserted means a new flow: there was no record or it was closed.
+    InsertResult observe(const FlowKey&, std::uint64_t hash, const FlowRecord&, MonotonicTime now);
+
+    // Whether a new record of the flow would find room.
+    bool hasRoom(std::uint64_t hash) const;
+
     // Removes records that are idle longer than their service's deadline, and closed ones after the linger
     // time. Returns the number removed. Each call holds one shard's lock at a time.
     std::size_t expire(MonotonicTime now, const std::function<std::chrono::milliseconds(ServiceId)>& idleDeadline);
--- a/packages/connection/src/FlowTable.cpp
+++ b/packages/connection/src/FlowTable.cpp
@@ -140,6 +140,38 @@
     return { .kind = InsertResult::Kind::Inserted, .record = stamped };
 }
 
+InsertResult FlowTable::observe(const FlowKey& key, std::uint64_t hash, const FlowRecord& record, MonotonicTime now)
+{
+    Shard& shard = shardOf(hash);
+    const std::lock_guard lock(shard.mutex);
+    const std::uint32_t nowMs = toMilliseconds(now);
+    const auto found = shard.records.find(HashedKey { key, hash });
+    if (found != shard.records.end()) {
+        FlowRecord& existing = found->second;
+        const bool reopened = existing.closed;
+        if (reopened || existing.kind == FlowRecordKind::Observed)
+            existing.target = record.target;
+        existing.closed = false;
+        existing.openedMs = nowMs;
+        existing.lastSeenMs = nowMs;
+        return { .kind = reopened ? InsertResult::Kind::Inserted : InsertResult::Kind::Existing, .record = existing };
+    }
+    if (shard.records.size() >= m_shardCapacity)
+        return { .kind = InsertResult::Kind::Full, .record = std::nullopt };
+    FlowRecord stamped = record;
+    stamped.openedMs = nowMs;
+    stamped.lastSeenMs = nowMs;
+    shard.records.emplace(key, stamped);
+    return { .kind = InsertResult::Kind::Inserted, .record = stamped };
+}
+
+bool FlowTable::hasRoom(std::uint64_t hash) const
+{
+    const Shard& shard = shardOf(hash);
+    const std::lock_guard lock(shard.mutex);
+    return shard.records.size() < m_shardCapacity;
+}
+
 std::size_t FlowTable::expire(
     MonotonicTime now, const std::function<std::chrono::milliseconds(ServiceId)>& idleDeadline)
 {
--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -3,6 +3,9 @@
 // Public header of the process package: what lives as long as the process.
 
 #include <anvilwalk/process/CellController.h>
+#include <anvilwalk/process/FlowRecordCodec.h>
 #include <anvilwalk/process/ObjectStore.h>
 #include <anvilwalk/process/PacketRouter.h>
+#include <anvilwalk/process/RouterCounters.h>
 #include <anvilwalk/process/RoutingState.h>
+#include <anvilwalk/process/SlotRouter.h>
--- /dev/null
+++ b/packages/process/src/PreparedState.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <anvilwalk/connection.h>
+#include <anvilwalk/process/RouterCounters.h>
+#include <anvilwalk/process/RoutingState.h>
+
+#include <absl/container/flat_hash_map.h>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace anvilwalk {
+
+// A slot that is not stable, or whose target is in doubt, with everything that depends on the state only.
+struct PreparedSlot {
+    // Target of flows without a record that opened before the change.
+    TargetId oldest;
+    // Target of opening packets.
+    TargetId opening;
+    // Local time at which the change was first seen.
+    std::optional<MonotonicTime> announcedAt;
+    // Live members by rank; the first owns the slot.
+    std::vector<const RoutingMember*> order;
+    bool selfOwns = false;
+    // Whom the owner asks to confirm a record; null if it decides alone.
+    const RoutingMember* confirmer = nullptr;
+};
+
+struct PreparedService {
+    const ServiceConfig* config = nullptr;
+    const ServiceSlots* slots = nullptr;
+    // Target of each slot; null for a slot that is in unstable.
+    std::vector<const TableTarget*> stable;
+    absl::flat_hash_map<SlotIndex, PreparedSlot> unstable;
+    std::shared_ptr<ServiceCounters> counters;
+    AdmissionLimits limits;
+    std::shared_ptr<AdmissionLimiter> limiter;
+};
+
+struct PreparedOptions {
+    bool honourAnnouncedPhase = true;
+    bool consultSettled = true;
+};
+
+// A routing state with the lookups that each packet would repeat. Immutable but for counters and limiters.
+struct PreparedState {
+    RoutingStatePointer source;
+    TableVersion tableVersion;
+    // True also for a leaving balancer, which holds all its records until it exits.
+    bool selfSettled = false;
+    absl::flat_hash_map<ServiceAddress, std::size_t> byAddress;
+    std::vector<PreparedService> services;
+
+    const PreparedService* findService(const ServiceAddress&) const;
+    const RoutingMember* findMember(const BalancerId&) const;
+
+    // Limiters that still have the same limits are taken over from the previous state.
+    static std::shared_ptr<const PreparedState> make(
+        RoutingStatePointer, const PreparedState* previous, RouterCounters&, const PreparedOptions&);
+};
+
+} // namespace anvilwalk
