--- a/packages/process/src/PreparedState.cpp
+++ b/packages/process/src/PreparedState.cpp
@@ -51,24 +51,22 @@
 
     // A settled owner has every record and only needs a copy of new ones at its backup. An unsettled owner may
     // lack records, so it asks the first settled balancer in the order.
-    const RoutingMember* chooseConfirmer(const std::vector<const RoutingMember*>& order, const PreparedOptions& options)
+    const RoutingMember* chooseConfirmer(const std::vector<const RoutingMember*>& order, bool consultSettled)
     {
         if (order.size() < 2)
             return nullptr;
-        if (order.front()->settled || !options.consultSettled)
+        if (order.front()->settled || !consultSettled)
             return order[1];
         const auto settled
             = std::find_if(order.begin() + 1, order.end(), [](const RoutingMember* member) { return member->settled; });
         return settled == order.end() ? order[1] : *settled;
     }
 
-    void rank(const RoutingState& state, ServiceId service, SlotIndex index, const PreparedOptions& options,
-        PreparedSlot& slot)
+    void assignRoles(PreparedSlot& slot, const BalancerId& self, bool consultSettled)
     {
-        slot.order = rankMembers(state, service, index);
         // Without any other member, a leaving balancer still serves what reaches it.
-        slot.selfOwns = slot.order.empty() || slot.order.front()->id == state.self;
-        slot.confirmer = chooseConfirmer(slot.order, options);
+        slot.selfOwns = slot.order.empty() || slot.order.front()->id == self;
+        slot.confirmer = chooseConfirmer(slot.order, consultSettled);
     }
 
     std::optional<PreparedSlot> prepareSlot(const RoutingState& state, ServiceId service, const ServiceSlots& slots,
@@ -89,7 +87,8 @@
             if (fallback != TargetId())
                 slot.opening = fallback;
         }
-        rank(state, service, index, options, slot);
+        slot.order = rankMembers(state, service, index);
+        assignRoles(slot, state.self, options.consultSettled);
         return slot;
     }
 
@@ -144,6 +143,14 @@
 
 } // namespace
 
+PreparedSlot PreparedSlot::withoutOwner(const PreparedState& state, bool consultSettled) const
+{
+    PreparedSlot slot = *this;
+    slot.order.erase(slot.order.begin());
+    assignRoles(slot, state.source->self, consultSettled);
+    return slot;
+}
+
 const PreparedService* PreparedState::findService(const ServiceAddress& address) const
 {
     const auto found = byAddress.find(address);
--- a/packages/process/src/PreparedState.h
+++ b/packages/process/src/PreparedState.h
@@ -11,6 +11,8 @@
 
 namespace anvilwalk {
 
+struct PreparedState;
+
 // A slot that is not stable, or whose target is in doubt, with everything that depends on the state only.
 struct PreparedSlot {
     // Target of flows without a record that opened before the change.
@@ -24,6 +26,9 @@
     bool selfOwns = false;
     // Whom the owner asks to confirm a record; null if it decides alone.
     const RoutingMember* confirmer = nullptr;
+
+    // The same slot after its owner has left.
+    PreparedSlot withoutOwner(const PreparedState&, bool consultSettled) const;
 };
 
 struct PreparedService {
--- a/packages/process/src/SlotRouter.cpp
+++ b/packages/process/src/SlotRouter.cpp
@@ -153,7 +153,15 @@
     if (header.purpose == RelayPurpose::Confirmed)
         return completeReplication(context, header);
     // A slot that is stable here and announced at the sender has the same target for every flow.
-    return stableTarget ? routeStable(context, *stableTarget) : routeUnstable(context);
+    if (stableTarget)
+        return routeStable(context, *stableTarget);
+    // The order of two members is the same at both. An owner that passes its packet on is therefore leaving.
+    const std::vector<const RoutingMember*>& order = context.slot->order;
+    if (order.empty() || order.front()->id != header.sender)
+        return routeUnstable(context);
+    const PreparedSlot slot = context.slot->withoutOwner(*state, m_options.consultSettled);
+    context.slot = &slot;
+    return routeUnstable(context);
 }
 
 Decision SlotRouter::routeStable(const Context& context, const TableTarget& target)
@@ -245,8 +253,8 @@
     const bool ownerWins = owner->settled && !context.state.selfSettled;
     const InsertResult result = storeConfirmed(context, header.target, ownerWins);
     const TargetId target = result.record ? result.record->target : TargetId();
-    // The confirmer of an unsettled owner is not its backup; the backup gets the record on the way back.
-    if (context.slot && target != TargetId() && header.hops + 2 <= m_options.maxRelays) {
+    // The confirmer of an unsettled owner may not be its backup, which then gets the record on the way back.
+    if (context.slot && !owner->settled && target != TargetId() && header.hops + 2 <= m_options.maxRelays) {
         for (const RoutingMember* member : context.slot->order) {
             if (member->id == header.owner)
                 continue;
--- /dev/null
+++ b/tests/fakes/TableBuilder.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <anvilwalk/version.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace anvilwalk::fakes {
+
+// Builds table versions step by step. Slots are spread over the targets in turn.
+class TableBuilder {
+public:
+    void addService(ServiceId, const std::vector<TargetId>& targets);
+    void addTarget(ServiceId, TargetId);
+    void setLeaving(ServiceId, TargetId);
+    TargetId target(ServiceId, SlotIndex) const;
+    // Appends a candidate to the slot and announces it.
+    void announce(ServiceId, SlotIndex, TargetId);
+    void startMoving(ServiceId, SlotIndex);
+    void makeStable(ServiceId, SlotIndex);
+    const table::SlotException* exception(ServiceId, SlotIndex) const;
+
+    // Each build raises the version by one.
+    TableSnapshotPointer build();
+    TableVersion version() const { return TableVersion(m_set.version()); }
+
+private:
+    table::ServiceTable& service(ServiceId);
+    const table::ServiceTable& service(ServiceId) const;
+
+    table::TableSet m_set;
+};
+
+// The tunnel endpoint that the builder gives a target.
+Ipv4Endpoint tunnelOf(TargetId);
+
+} // namespace anvilwalk::fakes
