--- a/packages/process/include/anvilwalk/process/SlotRouter.h
+++ b/packages/process/include/anvilwalk/process/SlotRouter.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 namespace anvilwalk {
 
@@ -64,6 +65,7 @@
     Decision decideAsOwner(const Context&);
     Decision decideUnknownFlow(const Context&);
     Decision replicate(const Context&, const RelayHeader&);
+    Decision decideForUnknownOwner(const Context&, const std::optional<FlowRecord>&);
     Decision completeReplication(const Context&, const RelayHeader&);
     Decision propose(const Context&, TargetId, bool isNew);
     Decision answerFullTable(const Context&);
--- a/packages/process/src/SlotRouter.cpp
+++ b/packages/process/src/SlotRouter.cpp
@@ -155,9 +155,10 @@
     // A slot that is stable here and announced at the sender has the same target for every flow.
     if (stableTarget)
         return routeStable(context, *stableTarget);
-    // The order of two members is the same at both. An owner that passes its packet on is therefore leaving.
+    // The order of two members is the same at both. An owner that passes its packet on to a member is therefore
+    // leaving.
     const std::vector<const RoutingMember*>& order = context.slot->order;
-    if (order.empty() || order.front()->id != header.sender)
+    if (state->source->selfLeaving || order.empty() || order.front()->id != header.sender)
         return routeUnstable(context);
     const PreparedSlot slot = context.slot->withoutOwner(*state, m_options.consultSettled);
     context.slot = &slot;
@@ -242,13 +243,12 @@
 {
     if (header.target == TargetId() || header.owner == context.state.source->self)
         return drop(context, DropReason::BadRelayHeader);
-    // A record made for an owner that is gone would not be at the new owner and its backup.
-    const RoutingMember* owner = context.state.findMember(header.owner);
-    if (!owner)
-        return context.slot ? routeUnstable(context) : drop(context, DropReason::NoOwner);
     const auto record = m_flows->touch(context.key(), context.hash, context.kind(), context.now);
     if (isConfirmed(record) && isReuseOnLeavingTarget(context, *record))
         return drop(context, DropReason::ReusedTuple);
+    const RoutingMember* owner = context.state.findMember(header.owner);
+    if (!owner)
+        return decideForUnknownOwner(context, record);
     // A settled owner has every record; an unsettled backup may hold ones from before a pause.
     const bool ownerWins = owner->settled && !context.state.selfSettled;
     const InsertResult result = storeConfirmed(context, header.target, ownerWins);
@@ -266,6 +266,18 @@
     return relay(context, *owner, RelayPurpose::Confirmed, header.owner, target);
 }
 
+// The owner that asks for a confirmation has joined and is not known here yet, or is gone. A new record made for
+// it would not be at the owner and backup that this balancer knows.
+Decision SlotRouter::decideForUnknownOwner(const Context& context, const std::optional<FlowRecord>& record)
+{
+    if (!context.slot)
+        return drop(context, DropReason::NoOwner);
+    const bool changesRecord = context.kind() == PacketKind::Opening || context.kind() == PacketKind::Closing;
+    if (isConfirmed(record) && context.state.selfSettled && !changesRecord)
+        return forward(context, record->target);
+    return routeUnstable(context);
+}
+
 Decision SlotRouter::completeReplication(const Context& context, const RelayHeader& header)
 {
     if (header.target == TargetId())
--- a/tests/fakes/RouterScene.h
+++ b/tests/fakes/RouterScene.h
@@ -15,9 +15,9 @@
 
 struct RouterSceneOptions {
     std::size_t balancers = 3;
-    SlotRouterOptions router;
+    SlotRouterOptions router {};
     FlowTableOptions flows { .capacity = 4096, .shards = 4 };
-    ServiceLimits limits;
+    ServiceLimits limits {};
 };
 
 // A cluster of routers with two TCP services and a UDP service. Dispatch has the targets 1 to 4, photos 11 and
