--- a/tests/fakes/TableBuilder.cpp
+++ b/tests/fakes/TableBuilder.cpp
@@ -32,7 +32,7 @@
 
 Ipv4Endpoint tunnelOf(TargetId id) { return { .address = { tunnelNetwork + id.value() }, .port = tunnelPort }; }
 
-table::ServiceTable& TableBuilder::service(ServiceId id)
+table::ServiceTable& TableBuilder::mutableService(ServiceId id)
 {
     for (table::ServiceTable& service : *m_set.mutable_services()) {
         if (service.service() == id.value())
@@ -43,7 +43,7 @@
 
 const table::ServiceTable& TableBuilder::service(ServiceId id) const
 {
-    return const_cast<TableBuilder*>(this)->service(id);
+    return const_cast<TableBuilder*>(this)->mutableService(id);
 }
 
 void TableBuilder::addService(ServiceId id, const std::vector<TargetId>& targets)
@@ -56,21 +56,29 @@
         service.add_slots(targets[slot % targets.size()].value());
 }
 
-void TableBuilder::addTarget(ServiceId id, TargetId target) { addEntry(service(id), target); }
+void TableBuilder::addTarget(ServiceId id, TargetId target) { addEntry(mutableService(id), target); }
 
 void TableBuilder::setLeaving(ServiceId id, TargetId target)
 {
-    for (table::TargetEntry& entry : *service(id).mutable_targets()) {
+    for (table::TargetEntry& entry : *mutableService(id).mutable_targets()) {
         if (entry.id() == target.value())
             entry.set_leaving(true);
     }
 }
 
+void TableBuilder::setWeight(ServiceId id, TargetId target, std::uint32_t weight)
+{
+    for (table::TargetEntry& entry : *mutableService(id).mutable_targets()) {
+        if (entry.id() == target.value())
+            entry.set_weight(weight);
+    }
+}
+
 TargetId TableBuilder::target(ServiceId id, SlotIndex slot) const { return TargetId(service(id).slots(slot.value())); }
 
 void TableBuilder::announce(ServiceId id, SlotIndex slot, TargetId target)
 {
-    table::ServiceTable& entry = service(id);
+    table::ServiceTable& entry = mutableService(id);
     table::SlotException* exception = findException(entry, slot);
     if (!exception) {
         exception = entry.add_exceptions();
@@ -85,12 +93,12 @@
 
 void TableBuilder::startMoving(ServiceId id, SlotIndex slot)
 {
-    findException(service(id), slot)->set_phase(table::SLOT_PHASE_MOVING);
+    findException(mutableService(id), slot)->set_phase(table::SLOT_PHASE_MOVING);
 }
 
 void TableBuilder::makeStable(ServiceId id, SlotIndex slot)
 {
-    auto& exceptions = *service(id).mutable_exceptions();
+    auto& exceptions = *mutableService(id).mutable_exceptions();
     for (int i = 0; i < exceptions.size(); ++i) {
         if (exceptions[i].slot() == slot.value()) {
             exceptions.DeleteSubrange(i, 1);
@@ -101,7 +109,7 @@
 
 const table::SlotException* TableBuilder::exception(ServiceId id, SlotIndex slot) const
 {
-    return findException(const_cast<TableBuilder*>(this)->service(id), slot);
+    return findException(const_cast<TableBuilder*>(this)->mutableService(id), slot);
 }
 
 TableSnapshotPointer TableBuilder::build()
--- a/tests/fakes/TableBuilder.h
+++ b/tests/fakes/TableBuilder.h
@@ -13,20 +13,21 @@
     void addService(ServiceId, const std::vector<TargetId>& targets);
     void addTarget(ServiceId, TargetId);
     void setLeaving(ServiceId, TargetId);
+    void setWeight(ServiceId, TargetId, std::uint32_t weight);
     TargetId target(ServiceId, SlotIndex) const;
     // Appends a candidate to the slot and announces it.
     void announce(ServiceId, SlotIndex, TargetId);
     void startMoving(ServiceId, SlotIndex);
     void makeStable(ServiceId, SlotIndex);
     const table::SlotException* exception(ServiceId, SlotIndex) const;
+    const table::ServiceTable& service(ServiceId) const;
 
     // Each build raises the version by one.
     TableSnapshotPointer build();
     TableVersion version() const { return TableVersion(m_set.version()); }
 
 private:
-    table::ServiceTable& service(ServiceId);
-    const table::ServiceTable& service(ServiceId) const;
+    table::ServiceTable& mutableService(ServiceId);
 
     table::TableSet m_set;
 };
