--- a/packages/process/include/anvilwalk/process/ObjectStore.h
+++ b/packages/process/include/anvilwalk/process/ObjectStore.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <stop_token>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,14 @@
     virtual Status watch(const std::string& kind, StoreVersion from, std::chrono::milliseconds timeout,
         const std::function<bool(const WatchEvent&)>& handler)
         = 0;
+    // Like watch, and also ends (with Unavailable) soon after a stop is requested. A backend that cannot end a
+    // watch early keeps this default, which waits for the timeout.
+    virtual Status watchUntilStopped(const std::string& kind, StoreVersion from, std::chrono::milliseconds timeout,
+        const std::function<bool(const WatchEvent&)>& handler, std::stop_token stop)
+    {
+        return watch(
+            kind, from, timeout, [&](const WatchEvent& event) { return !stop.stop_requested() && handler(event); });
+    }
 };
 
 } // namespace anvilwalk
