--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -3,6 +3,9 @@
 // Public header of the process package: what lives as long as the process.
 
 #include <anvilwalk/process/CellController.h>
+#include <anvilwalk/process/ObjectCodec.h>
 #include <anvilwalk/process/ObjectStore.h>
 #include <anvilwalk/process/PacketRouter.h>
+#include <anvilwalk/process/RetryPolicy.h>
 #include <anvilwalk/process/RoutingState.h>
+#include <anvilwalk/process/StoreFollower.h>
--- a/packages/request/include/anvilwalk/request/FlowKey.h
+++ b/packages/request/include/anvilwalk/request/FlowKey.h
@@ -3,6 +3,9 @@
 #include <anvilwalk/units.h>
 
 #include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace anvilwalk {
@@ -20,6 +23,11 @@
 
     friend constexpr auto operator<=>(const ServiceAddress&, const ServiceAddress&) = default;
 
+    // "address:port/tcp" or "address:port/udp".
+    std::string toString() const;
+    // Parses the form of toString; nothing on any other text.
+    static std::optional<ServiceAddress> parse(std::string_view text);
+
     template <class HashState>
     friend HashState AbslHashValue(HashState state, const ServiceAddress& a) // NOLINT(readability-identifier-naming)
     {
--- a/packages/units/src/Ipv4Endpoint.cpp
+++ b/packages/units/src/Ipv4Endpoint.cpp
@@ -18,6 +18,9 @@
 
 std::optional<Ipv4Address> Ipv4Address::parse(std::string_view text)
 {
+    // inet_pton would stop at a zero byte and accept what stands before it.
+    if (text.find('\0') != std::string_view::npos)
+        return std::nullopt;
     in_addr address {};
     if (inet_pton(AF_INET, std::string(text).c_str(), &address) != 1)
         return std::nullopt;
