--- a/packages/process/objectapi/HttpObjectStore.cpp
+++ b/packages/process/objectapi/HttpObjectStore.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast.hpp>
 #include <cctype>
 #include <charconv>
+#include <limits>
 #include <optional>
 
 namespace anvilwalk {
@@ -342,7 +343,8 @@
     Status readEvents(Exchange& exchange, WatchReader& reader, const std::string& what, std::size_t maxBytes)
     {
         http::response_parser<http::buffer_body> parser;
-        parser.body_limit(boost::none);
+        // Without a limit (boost::none), Boost 1.74 refuses every answer that has a Content-Length.
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
         if (const auto error = exchange.receiveHeader(parser))
             return unavailable(what, "no answer: " + error.message());
         if (parser.get().result() != http::status::ok)
@@ -353,14 +355,14 @@
             parser.get().body().data = bytes.data();
             parser.get().body().size = bytes.size();
             const auto error = exchange.receiveSome(parser);
-            if (error && error != http::error::need_buffer)
-                return unavailable(what, "connection lost: " + error.message());
             const std::size_t count = bytes.size() - parser.get().body().size;
             received += count;
             if (received > maxBytes)
                 return unavailable(what, "the answer is too long");
             if (const auto end = reader.consume({ bytes.data(), count }))
                 return *end;
+            if (error && error != http::error::need_buffer)
+                return unavailable(what, "connection lost: " + error.message());
         }
         return std::monostate {};
     }
--- a/packages/process/src/StoreFollower.cpp
+++ b/packages/process/src/StoreFollower.cpp
@@ -257,7 +257,7 @@
     Status handleVmList(const ObjectList& list)
     {
         if (list.version < m_vmVersion)
-            return unavailable("The VM list is older than the one before.");
+            return Error { .code = ErrorCode::Internal, .message = "The VM list is older than the one before." };
         m_vmVersion = list.version;
         m_vms.clear();
         for (const StoredObject& object : list.items)
