--- a/packages/process/src/StoreFollower.cpp
+++ b/packages/process/src/StoreFollower.cpp
@@ -124,7 +124,7 @@
         const auto list = m_store->list(feed.kind);
         if (!isOk(list))
             return errorOf(list);
-        const Status handled = feed.handleList(valueOf(list));
+        Status handled = feed.handleList(valueOf(list));
         if (isOk(handled))
             from = valueOf(list).version;
         return handled;
@@ -136,7 +136,7 @@
         Status handled;
         const MonotonicTime start = m_clock.now();
         const StoreVersion before = from;
-        const Status watched = m_store->watchUntilStopped(
+        Status watched = m_store->watchUntilStopped(
             feed.kind, from, m_options.watchTimeout,
             [&](const WatchEvent& event) {
                 if (session.stop_requested())
@@ -213,7 +213,7 @@
     {
         for (const StoredObject& object : list.items) {
             const WatchEvent event { .type = WatchEvent::Type::Modified, .object = object };
-            const Status handled = isTable ? handleTable(event) : handleLease(event);
+            Status handled = isTable ? handleTable(event) : handleLease(event);
             if (!isOk(handled))
                 return handled;
         }
--- a/tests/fakes/ScriptedHttpServer.cpp
+++ b/tests/fakes/ScriptedHttpServer.cpp
@@ -41,7 +41,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(m_socket, reinterpret_cast<sockaddr*>(&address), size);
+    (void)::bind(m_socket, reinterpret_cast<sockaddr*>(&address), size);
     listen(m_socket, 8);
     getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
     m_endpoint = { .address = { .value = INADDR_LOOPBACK }, .port = ntohs(address.sin_port) };
