--- a/packages/process/src/CellControllerImplementation.cpp
+++ b/packages/process/src/CellControllerImplementation.cpp
@@ -296,6 +296,8 @@
         return m_clearance.isClear(*m_state, { service, slot }, now);
     };
     input.agreedDoubts.insert(m_doubts.allInEffect().begin(), m_doubts.allInEffect().end());
+    for (const auto& [target, since] : m_doubts.applied())
+        input.appliedDoubts.insert(target);
     input.mayStepWeights = now - m_weightsChangedAt >= m_options.weightStepInterval;
     return input;
 }
--- a/packages/version/include/anvilwalk/version/TablePlanner.h
+++ b/packages/version/include/anvilwalk/version/TablePlanner.h
@@ -60,6 +60,8 @@
     // Targets whose doubt every live balancer has echoed while no table could be written. Their slots have been
     // announced in this way already.
     absl::flat_hash_set<TargetId> agreedDoubts;
+    // All targets whose doubt the balancers apply, in effect or not. None of them is a fallback.
+    absl::flat_hash_set<TargetId> appliedDoubts;
     // Weights may change by one step.
     bool mayStepWeights = true;
 };
--- a/packages/version/src/DoubtFallback.cpp
+++ b/packages/version/src/DoubtFallback.cpp
@@ -10,7 +10,7 @@
     TargetId best;
     std::uint64_t bestRank = 0;
     for (const auto& [id, target] : slots.targets) {
-        if (target.leaving || isDoubted(id))
+        if (target.leaving || target.weight == 0 || isDoubted(id))
             continue;
         const std::array<std::uint32_t, 3> words { service.value(), slot.value(), id.value() };
         const std::uint64_t rank = hashBytes(words.data(), sizeof(words));
--- a/packages/version/src/ServicePlan.cpp
+++ b/packages/version/src/ServicePlan.cpp
@@ -23,6 +23,7 @@
     , m_service(service)
     , m_nextVersion(nextVersion)
     , m_nextTargetId(nextTargetId)
+    , m_current(current)
     , m_isNew(!current || current->slots.empty())
     , m_changed(!current)
 {
@@ -161,18 +162,19 @@
     return true;
 }
 
-// Openings of these slots go to the fallback already, so that the slots continue as moving ones.
+// Openings of these slots go to the fallback already, so that the slots continue as moving ones. The balancers chose
+// the fallback by the current table.
 void ServicePlan::moveAgreedDoubts()
 {
-    const auto agreed = [&](TargetId id) { return m_input.agreedDoubts.contains(id); };
-    if (m_input.agreedDoubts.empty() || m_slots.slots.empty())
+    if (m_input.agreedDoubts.empty() || m_isNew)
         return;
-    const ServiceSlots before = m_slots;
-    for (std::uint16_t index = 0; index < m_slots.slots.size(); ++index) {
+    const auto isDoubtedNow
+        = [&](TargetId id) { return m_input.appliedDoubts.contains(id) || m_input.agreedDoubts.contains(id); };
+    for (std::uint16_t index = 0; index < m_current->slots.size(); ++index) {
         const SlotIndex slot(index);
-        if (!agreed(before.slots[index]))
+        if (!m_input.agreedDoubts.contains(m_current->slots[index]))
             continue;
-        const TargetId fallback = doubtFallback(before, m_service, slot, agreed);
+        const TargetId fallback = doubtFallback(*m_current, m_service, slot, isDoubtedNow);
         if (fallback != TargetId())
             appendCandidate(slot, fallback, SlotPhase::Moving);
     }
--- a/packages/version/src/ServicePlan.h
+++ b/packages/version/src/ServicePlan.h
@@ -39,6 +39,7 @@
     ServiceId m_service;
     TableVersion m_nextVersion;
     std::uint32_t& m_nextTargetId;
+    const ServiceSlots* m_current;
     ServiceSlots m_slots;
     bool m_isNew;
     bool m_changed = false;
--- a/tests/process/CellScenariosTest.cpp
+++ b/tests/process/CellScenariosTest.cpp
@@ -387,6 +387,106 @@
         run.requireDrained(4);
     }
 
+    // Pairs of faults.
+
+    void deathWhileJoining(CellRun& run)
+    {
+        run.startBalancers(4);
+        run.drain(3);
+        run.requireDrained(3);
+        run.openFlows(400);
+        run.cell.start("joiner");
+        run.cell.run(std::chrono::milliseconds(run.cell.random(600)));
+        run.cell.kill(run.cell.random(2) == 0 ? "b1" : "b2");
+        run.cell.run(5s);
+        run.invariants.require(run.cell.runUntil([&] { return run.cell.allSettled(); }, 20s), "No settlement.");
+        run.invariants.requireRecords();
+    }
+
+    void deathsInTurn(CellRun& run)
+    {
+        run.startBalancers(4);
+        run.drain(3);
+        run.requireDrained(3);
+        run.openFlows(400);
+        run.cell.kill("b1");
+        run.cell.run(3s);
+        run.cell.kill("b2");
+        run.cell.run(3s);
+        run.invariants.requireRecords();
+        run.drain(4);
+        run.requireDrained(4);
+    }
+
+    void leaveWhileJoining(CellRun& run)
+    {
+        run.startBalancers(3);
+        run.drain(3);
+        run.requireDrained(3);
+        run.openFlows(400);
+        run.cell.start("joiner");
+        run.cell.run(std::chrono::milliseconds(run.cell.random(600)));
+        FakeBalancer& leaver = run.cell.balancer("b2");
+        leaver.controller->requestStop(run.cell.now());
+        const auto done = [&] { return leaver.controller->stopComplete(run.cell.now()); };
+        run.invariants.require(run.cell.runUntil(done, 10s), "The stop did not complete.");
+        run.cell.kill("b2");
+        run.invariants.require(run.cell.runUntil([&] { return run.cell.allSettled(); }, 20s), "No settlement.");
+        run.invariants.requireRecords();
+    }
+
+    // The writer dies between the announced and the moving version.
+    void writerDiesDuringDrain(CellRun& run)
+    {
+        run.startBalancers(4);
+        run.drain(3);
+        run.cell.runUntil([&] { return run.anyIn(SlotPhase::Announced); }, 5s);
+        run.cell.run(std::chrono::milliseconds(run.cell.random(1300)));
+        run.cell.kill(run.writer());
+        run.requireDrained(3);
+    }
+
+    void storeDownBalancerAndTargetDie(CellRun& run)
+    {
+        run.startBalancers(4);
+        const TargetId target = run.targetId(3);
+        run.cell.store.behaviour.down = true;
+        run.cell.run(4s);
+        run.cell.setReport(report(target, false));
+        run.cell.run(std::chrono::milliseconds(3000 + run.cell.random(4000)));
+        run.cell.kill(run.cell.random(2) == 0 ? "b1" : "b3");
+        const auto agreed = [&] { return balancersWithAgreedDoubt(run, target) == 3; };
+        run.invariants.require(run.cell.runUntil(agreed, 15s), "The doubt was not agreed.");
+        run.cell.store.behaviour.down = false;
+        run.requireDrained(3);
+    }
+
+    void pauseWhileAnswersAreLost(CellRun& run)
+    {
+        run.startBalancers(3);
+        run.cell.store.behaviour.lostAnswers = 2;
+        run.drain(3);
+        run.cell.run(std::chrono::milliseconds(run.cell.random(300)));
+        const std::string name = run.writer();
+        run.cell.pause(name);
+        run.cell.run(6s);
+        run.cell.store.behaviour.lostAnswers = 2;
+        run.cell.resume(name);
+        run.requireDrained(3);
+    }
+
+    void drainAndTargetDeath(CellRun& run)
+    {
+        run.startBalancers(3);
+        const TargetId target = run.targetId(4);
+        run.cell.setReport(report(target, false));
+        run.cell.run(std::chrono::milliseconds(4000 + run.cell.random(1500)));
+        run.drain(3);
+        run.requireDrained(3);
+        run.requireDrained(4);
+        run.requireStable();
+    }
+
     // The VM list does not show the balancers and drops a target for a while.
     void vmListLags(CellRun& run)
     {
@@ -448,6 +548,13 @@
         { "a target sheds", targetSheds, nullptr },
         { "a cold target ramps up", coldTargetRampsUp, nullptr },
         { "rolling replacement of all balancers", rollingReplacement, [](S& s) { s.skipRecordSync = true; } },
+        { "a balancer dies while another joins", deathWhileJoining, [](S& s) { s.skipRecordSync = true; } },
+        { "two balancers die in turn", deathsInTurn, [](S& s) { s.skipRecordSync = true; } },
+        { "a balancer leaves while another joins", leaveWhileJoining, [](S& s) { s.skipRecordSync = true; } },
+        { "the writer dies during a drain", writerDiesDuringDrain, nullptr },
+        { "store down while a balancer and a target die", storeDownBalancerAndTargetDie, nullptr },
+        { "the writer pauses while answers are lost", pauseWhileAnswersAreLost, nullptr },
+        { "a target drains while another dies", drainAndTargetDeath, nullptr },
         { "the VM list lags", vmListLags, nullptr },
         { "an old table from the store", oldTableFromStore, [](S& s) { s.acceptLowerVersions = true; } },
     };
