--- a/tests/standins/caller/Caller.cpp
+++ b/tests/standins/caller/Caller.cpp
@@ -223,6 +223,7 @@
         .id = flow.awaitedId,
         .port = flow.connection.key().sourcePort,
         .at = now,
+        .since = std::max(flow.connection.lastProgress(), flow.lastSentAt),
         .age = std::chrono::duration_cast<milliseconds>(now - flow.openedAt) });
     if (!flow.awaitedId.empty() && flow.kind != streamKind)
         m_unknownIds.push_back(flow.awaitedId);
@@ -282,11 +283,13 @@
 json Caller::report(Time now, bool withIds) const
 {
     const auto epochNow = std::chrono::system_clock::now();
+    const auto epochMs = [&](Time time) {
+        return std::chrono::duration_cast<milliseconds>((epochNow - (now - time)).time_since_epoch()).count();
+    };
     json broken = json::array();
     for (const BrokenFlow& flow : m_broken) {
-        const auto at = std::chrono::duration_cast<milliseconds>((epochNow - (now - flow.at)).time_since_epoch());
         broken.push_back({ { "cause", flow.cause }, { "kind", flow.kind }, { "id", flow.id }, { "port", flow.port },
-            { "atMs", at.count() }, { "ageMs", flow.age.count() } });
+            { "atMs", epochMs(flow.at) }, { "sinceMs", epochMs(flow.since) }, { "ageMs", flow.age.count() } });
     }
     json report = { { "service", m_options.service }, { "flows", m_flowsOpened }, { "requests", m_requests },
         { "answered", m_answered }, { "refused", m_refused }, { "not_opened", m_notOpened },
--- a/tests/standins/caller/Caller.h
+++ b/tests/standins/caller/Caller.h
@@ -84,6 +84,8 @@
         std::string id;
         std::uint16_t port = 0;
         Time at;
+        // Last progress, or the request that was sent after it.
+        Time since;
         std::chrono::milliseconds age { 0 };
     };
 
