--- a/packages/version/include/anvilwalk/version.h
+++ b/packages/version/include/anvilwalk/version.h
@@ -5,4 +5,5 @@
 #include <anvilwalk/version/ConfigCodec.h>
 #include <anvilwalk/version/ConfigSnapshot.h>
 #include <anvilwalk/version/ServiceConfig.h>
+#include <anvilwalk/version/ServiceFile.h>
 #include <anvilwalk/version/TableSnapshot.h>
