--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -3,6 +3,12 @@
 // Public header of the process package: what lives as long as the process.
 
 #include <anvilwalk/process/CellController.h>
+#include <anvilwalk/process/Log.h>
 #include <anvilwalk/process/ObjectStore.h>
 #include <anvilwalk/process/PacketRouter.h>
+#include <anvilwalk/process/PauseDetector.h>
+#include <anvilwalk/process/PeerTransport.h>
+#include <anvilwalk/process/RelayCodec.h>
+#include <anvilwalk/process/ResetBuilder.h>
 #include <anvilwalk/process/RoutingState.h>
+#include <anvilwalk/process/Settings.h>
--- /dev/null
+++ b/packages/process/include/anvilwalk/process/ResetBuilder.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <anvilwalk/request.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace anvilwalk {
+
+inline constexpr std::size_t resetPacketBytes = 40;
+using ResetPacket = std::array<std::uint8_t, resetPacketBytes>;
+
+// Builds the TCP reset that refuses a connection, from the service's address to the client (RFC 9293, 3.10.7.1).
+// Nothing for a packet that is not an opening TCP packet.
+std::optional<ResetPacket> buildReset(const PacketView& opening);
+
+} // namespace anvilwalk
