--- /dev/null
+++ b/apps/anvilwalkd/UdpSocket.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <anvilwalk/units.h>
+
+#include <cstdint>
+
+namespace anvilwalk {
+
+// A non-blocking UDP socket.
+class UdpSocket {
+public:
+    // Binds a socket. With sharePort, several sockets may bind the same port and the kernel spreads flows over
+    // them. Port 0 takes a free one.
+    static Result<UdpSocket> bind(const Ipv4Endpoint&, bool sharePort);
+
+    UdpSocket(UdpSocket&&) noexcept;
+    UdpSocket& operator=(UdpSocket&&) noexcept;
+    ~UdpSocket();
+
+    int descriptor() const { return m_descriptor; }
+    Ipv4Endpoint localEndpoint() const;
+
+private:
+    explicit UdpSocket(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+
+    int m_descriptor = -1;
+};
+
+} // namespace anvilwalk
--- a/packages/process/grpc/GrpcPeerClient.cpp
+++ b/packages/process/grpc/GrpcPeerClient.cpp
@@ -1,4 +1,4 @@
-#include <anvilwalk/grpc/GrpcPeerClient.h>
+#include <anvilwalk/process/grpc/GrpcPeerClient.h>
 
 #include "HeartbeatWriter.h"
 #include "WireSize.h"
--- a/packages/process/grpc/GrpcPeerServer.cpp
+++ b/packages/process/grpc/GrpcPeerServer.cpp
@@ -1,4 +1,4 @@
-#include <anvilwalk/grpc/GrpcPeerServer.h>
+#include <anvilwalk/process/grpc/GrpcPeerServer.h>
 
 #include "WireSize.h"
 
--- a/packages/process/grpc/HeartbeatWriter.h
+++ b/packages/process/grpc/HeartbeatWriter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <anvilwalk/grpc/GrpcPeerClient.h>
+#include <anvilwalk/process/grpc/GrpcPeerClient.h>
 
 #include <atomic>
 #include <chrono>
--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -4,6 +4,7 @@
 
 #include <anvilwalk/process/CellController.h>
 #include <anvilwalk/process/Log.h>
+#include <anvilwalk/process/Metrics.h>
 #include <anvilwalk/process/ObjectStore.h>
 #include <anvilwalk/process/PacketRouter.h>
 #include <anvilwalk/process/PauseDetector.h>
@@ -12,3 +13,5 @@
 #include <anvilwalk/process/ResetBuilder.h>
 #include <anvilwalk/process/RoutingState.h>
 #include <anvilwalk/process/Settings.h>
+#include <anvilwalk/process/StatusSummary.h>
+#include <anvilwalk/process/TargetReportCodec.h>
