--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -3,6 +3,7 @@
 // Public header of the process package: what lives as long as the process.
 
 #include <anvilwalk/process/CellController.h>
+#include <anvilwalk/process/FlowRecordCodec.h>
 #include <anvilwalk/process/Log.h>
 #include <anvilwalk/process/Metrics.h>
 #include <anvilwalk/process/ObjectStore.h>
@@ -11,7 +12,9 @@
 #include <anvilwalk/process/PeerTransport.h>
 #include <anvilwalk/process/RelayCodec.h>
 #include <anvilwalk/process/ResetBuilder.h>
+#include <anvilwalk/process/RouterCounters.h>
 #include <anvilwalk/process/RoutingState.h>
 #include <anvilwalk/process/Settings.h>
+#include <anvilwalk/process/SlotRouter.h>
 #include <anvilwalk/process/StatusSummary.h>
 #include <anvilwalk/process/TargetReportCodec.h>
