--- /dev/null
+++ b/apps/anvilwalkd/StatusSource.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "ControlLoop.h"
+#include "PacketWorker.h"
+
+#include <anvilwalk/process.h>
+
+#include <functional>
+#include <memory>
+
+namespace anvilwalk {
+
+struct StatusSourceOptions {
+    BalancerId balancer;
+    Incarnation incarnation;
+    ControlLoop& control;
+    SlotRouter& router;
+    std::shared_ptr<FlowTable> flows;
+    const Clock& clock;
+    // Bytes of messages sent to other balancers.
+    std::function<std::uint64_t()> controlBytesSent;
+    // Packets that the kernel did not take.
+    std::function<std::uint64_t()> sendFailures;
+};
+
+// Puts the counters of this balancer together.
+class StatusSource {
+public:
+    explicit StatusSource(const StatusSourceOptions&);
+
+    peer::BalancerStatus status() const;
+    MetricsSample metrics() const;
+
+private:
+    StatusSourceOptions m_options;
+    MonotonicTime m_start;
+};
+
+} // namespace anvilwalk
