--- a/tests/standins/cell.sh
+++ b/tests/standins/cell.sh
@@ -153,12 +153,21 @@
 [log]
 level = "info"
 EOF
-    start_process "$cell-balancer-$number" "$bin_dir/anvilwalkd" "$settings"
+    start_process "$cell-balancer-$number" "$bin_dir/anvilwalkd" --config "$settings"
     vm_create "$cell" "balancer-$number" "$(jq -nc --arg dc "$cell" --arg id "balancer-$number" \
         --arg packet "$address:6000" --arg control "$address:6002" --arg ready "http://$address:6003/ready" \
         '{role:"entry",dataCentre:$dc,state:"live",balancer:$id,packetAddress:$packet,controlAddress:$control,readyUrl:$ready}')"
 }
 
+# publish CELL DIRECTORY: publishes the service files of a directory.
+publish() { "$bin_dir/anvilwalk" publish --platform "$(platform_url "$1")" "$2"; }
+
+# Parts of a service file.
+text_in() { sed -n "s/^$2 *= *\"\([^\"]*\)\".*/\1/p" "$1"; }
+service_name() { echo "$(text_in "$1" user)/$(text_in "$1" service)"; }
+# First address of the service.
+service_address() { sed -n 's/^addresses *= *\[ *"\([0-9.:]*\)\/tcp".*/\1/p' "$1"; }
+
 # ready_balancers CELL: number of balancers that the fabric uses.
 ready_balancers() { get_json "$(fabric_url "$1")/control" | jq '[.balancers[] | select(.ready)] | length'; }
 has_ready_balancers() { [ "$(ready_balancers "$1")" = "$2" ]; }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -25,18 +25,27 @@
 upload_hosts=(6 7)
 drained_host=5
 streams=500
-stream_file() { case $1 in "$cordeles") echo examples/cordeles/dispatch.toml ;; *) echo examples/lakeshore/routes.toml ;; esac }
-upload_file() { case $1 in "$cordeles") echo examples/cordeles/photo-intake.toml ;; *) echo examples/lakeshore/scanner-intake.toml ;; esac }
+user_of() { case $1 in "$cordeles") echo cordeles ;; *) echo lakeshore ;; esac }
+stream_file() { case $1 in "$cordeles") echo "$run_dir/cordeles/dispatch/anvilwalk.toml" ;; *) echo "$run_dir/lakeshore/routes/anvilwalk.toml" ;; esac }
+upload_file() { case $1 in "$cordeles") echo "$run_dir/cordeles/photo-intake/anvilwalk.toml" ;; *) echo "$run_dir/lakeshore/scanner-intake/anvilwalk.toml" ;; esac }
 request_kind() { case $1 in "$cordeles") echo booking ;; *) echo report ;; esac }
-service_files() { dirname "$(stream_file "$1")"; }
 
-text_in() { sed -n "s/^$2 *= *\"\\([^\"]*\\)\".*/\\1/p" "$1"; }
-service_name() { echo "$(text_in "$1" user)/$(text_in "$1" service)"; }
-service_address() { sed -n 's/^addresses *= *\[ *"\([0-9.:]*\)\/tcp".*/\1/p' "$1"; }
+# The example files name the scanner hosts by address; the copies name the hosts of this run.
+copy_service_files() {
+    local cell=$1 number place=11
+    cp -r "examples/$(user_of "$cell")" "$run_dir/"
+    for number in "${upload_hosts[@]}"; do
+        sed -i -e "s|\"10.2.1.$place:5555\"|\"$(network_of "$cell").2.$number:5555\"|" \
+            -e "s|\"http://10.2.1.$place:8080/health\"|\"$(target_url "$cell" "$number")/health\"|" \
+            "$run_dir/$(user_of "$cell")"/*/anvilwalk.toml
+        place=$((place + 1))
+    done
+}
 
 start_cell() {
     local cell=$1 number
     start_platform "$cell"
+    copy_service_files "$cell"
     start_fabric "$cell" --loss 0.001 --duplicate 0.005 --delay 0.01 --max-delay-ms 30
     for number in "${stream_hosts[@]}"; do
         start_target "$cell" "$number" "$(service_name "$(stream_file "$cell")")" \
@@ -46,8 +55,7 @@
         start_target "$cell" "$number" "$(service_name "$(upload_file "$cell")")" \
             "$(service_address "$(upload_file "$cell")")"
     done
-    "$bin_dir/anvilwalk" publish --platform "$(platform_url "$cell")" "$(service_files "$cell")" >&2 \
-        || fail "publish for $cell"
+    publish "$cell" "$run_dir/$(user_of "$cell")" >&2 || fail "publish for $cell"
     for number in 1 2 3; do start_balancer "$cell" "$number"; done
 }
 
