--- a/apps/anvilwalkd/Balancer.cpp
+++ b/apps/anvilwalkd/Balancer.cpp
@@ -145,8 +145,9 @@
 void Balancer::startControl()
 {
     m_follower = std::make_unique<StoreFollower>(m_store,
-        StoreFollowerOptions {
-            .dataCentre = m_settings.dataCentre, .seed = hashText(m_settings.balancer.value(), m_incarnation.value()) },
+        StoreFollowerOptions { .dataCentre = m_settings.dataCentre,
+            .retry = {},
+            .seed = hashText(m_settings.balancer.value(), m_incarnation.value()) },
         storeCallbacks());
     m_statusWriter = std::make_unique<StatusWriter>(
         StatusWriterOptions { .self = m_settings.balancer, .dataCentre = m_settings.dataCentre }, *m_control,
--- a/apps/anvilwalkd/ControlLoop.cpp
+++ b/apps/anvilwalkd/ControlLoop.cpp
@@ -308,4 +308,23 @@
 
 void ControlLoop::carryOut(const SetWatching& action) { m_setWatching(action.watch); }
 
+void ControlLoop::carryOut(const ReadTable&)
+{
+    m_storeThread.post([this] {
+        const std::string& name = m_options.controller.dataCentre.value();
+        const auto table = m_store->get(objectkind::slotTable, name);
+        if (isOk(table)) {
+            const auto decoded = decodeTable(valueOf(table).spec);
+            if (isOk(decoded))
+                handleTable(valueOf(decoded), valueOf(table).version);
+        }
+        const auto lease = m_store->get(objectkind::lease, name);
+        if (!isOk(lease))
+            return;
+        const auto decoded = decodeLease(valueOf(lease));
+        if (isOk(decoded))
+            handleLease(valueOf(decoded));
+    });
+}
+
 } // namespace anvilwalk
--- a/apps/anvilwalkd/ControlLoop.h
+++ b/apps/anvilwalkd/ControlLoop.h
@@ -82,6 +82,7 @@
     void carryOut(const WriteTable&);
     void carryOut(const WriteLease&);
     void carryOut(const SetWatching&);
+    void carryOut(const ReadTable&);
     void adoptState(const peer::FetchStateResponse&);
     Result<StoreVersion> writeObject(const std::string& kind, const nlohmann::json& spec, StoreVersion expected);
 
--- a/apps/anvilwalkd/PacketWorker.cpp
+++ b/apps/anvilwalkd/PacketWorker.cpp
@@ -11,8 +11,9 @@
     // Batches that one socket may have in a row before the other one gets its turn.
     constexpr int batchesPerTurn = 8;
     // A batch that took longer was interrupted; its decisions may rest on tables that the other balancers have
-    // replaced. Well below the 600 ms between the fence and the time a silent balancer is declared dead.
-    constexpr std::chrono::milliseconds maxBatchAge { 250 };
+    // replaced. Recent openings are handed to their owners 50 ms after a new table is in force, and no opening
+    // that is recorded later may go out by the former table.
+    constexpr std::chrono::milliseconds maxBatchAge { 40 };
 
 } // namespace
 
