--- a/tests/standins/platform/PlatformServer.cpp
+++ b/tests/standins/platform/PlatformServer.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <iterator>
-#include <optional>
+#include <utility>
 
 namespace anvilwalk::standins {
 
@@ -79,12 +79,15 @@
     m_down = body.value("down", m_down);
     m_delay = std::chrono::milliseconds(body.value("delayMs", static_cast<std::int64_t>(m_delay.count())));
     m_loseNextAnswers = body.value("loseNextAnswers", m_loseNextAnswers);
+    m_loseKind = body.value("loseKind", m_loseKind);
+    m_holdKind = body.value("holdKind", m_holdKind);
     if (body.contains("vmListLagMs"))
         m_table.setVmListLag(std::chrono::milliseconds(body["vmListLagMs"].get<std::int64_t>()));
     if (body.value("compact", false))
         m_table.compact();
     if (m_down)
         closeWatches();
+    releaseHeld();
     exchange->respond(200, describe());
 }
 
@@ -95,16 +98,42 @@
         startWatch(exchange, path);
         return;
     }
+    if (hold(exchange, path))
+        return;
     std::string call;
     const ObjectTable::Answer result = apply(request, path, call);
     ++m_calls[path.kind][call];
-    if (isWrite(request) && m_loseNextAnswers > 0) {
-        --m_loseNextAnswers;
-        ++m_lostAnswers;
+    if (losesAnswer(request, path))
         exchange->closeWithoutAnswer();
-        return;
+    else
+        answer(exchange, result);
+}
+
+bool PlatformServer::hold(const HttpExchangePointer& exchange, const ObjectPath& path)
+{
+    if (!isWrite(exchange->request()) || m_holdKind.empty() || path.kind != m_holdKind)
+        return false;
+    m_held.emplace_back(exchange, path);
+    return true;
+}
+
+void PlatformServer::releaseHeld()
+{
+    for (const auto& [exchange, path] : std::exchange(m_held, {})) {
+        if (m_down)
+            exchange->closeWithoutAnswer();
+        else
+            handleObject(exchange, path);
     }
-    answer(exchange, result);
+}
+
+bool PlatformServer::losesAnswer(const HttpRequest& request, const ObjectPath& path)
+{
+    if (!isWrite(request) || m_loseNextAnswers == 0 || (!m_loseKind.empty() && path.kind != m_loseKind))
+        return false;
+    --m_loseNextAnswers;
+    ++m_lostAnswers;
+    return true;
 }
 
 ObjectTable::Answer PlatformServer::apply(const HttpRequest& request, const ObjectPath& path, std::string& call)
@@ -205,8 +234,8 @@
 {
     return json {
         { "down", m_down }, { "delayMs", m_delay.count() }, { "loseNextAnswers", m_loseNextAnswers },
-        { "lostAnswers", m_lostAnswers }, { "callsWhileDown", m_callsWhileDown }, { "openWatches", m_watches.size() },
-        { "calls", m_calls }
+        { "lostAnswers", m_lostAnswers }, { "callsWhileDown", m_callsWhileDown }, { "held", m_held.size() },
+        { "openWatches", m_watches.size() }, { "calls", m_calls }
     }.dump();
 }
 
--- a/tests/standins/platform/PlatformServer.h
+++ b/tests/standins/platform/PlatformServer.h
@@ -33,6 +33,10 @@
     void handle(const HttpExchangePointer&);
     void handleControl(const HttpExchangePointer&);
     void handleObject(const HttpExchangePointer&, const ObjectPath&);
+    // Keeps writes of one kind waiting until the kind is no longer held.
+    bool hold(const HttpExchangePointer&, const ObjectPath&);
+    void releaseHeld();
+    bool losesAnswer(const HttpRequest&, const ObjectPath&);
     ObjectTable::Answer apply(const HttpRequest&, const ObjectPath&, std::string& call);
     void startWatch(const HttpExchangePointer&, const ObjectPath&);
     void answer(const HttpExchangePointer&, const ObjectTable::Answer&);
@@ -46,7 +50,11 @@
     bool m_down = false;
     std::chrono::milliseconds m_delay { 0 };
     std::uint64_t m_loseNextAnswers = 0;
+    // Kind of the writes whose answers are lost; empty for all kinds.
+    std::string m_loseKind;
     std::uint64_t m_lostAnswers = 0;
+    std::string m_holdKind;
+    std::vector<std::pair<HttpExchangePointer, ObjectPath>> m_held;
     std::uint64_t m_callsWhileDown = 0;
     // Calls by kind and by method.
     std::map<std::string, std::map<std::string, std::uint64_t>> m_calls;
