--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -6,6 +6,7 @@
 #include <anvilwalk/process/ObjectCodec.h>
 #include <anvilwalk/process/ObjectStore.h>
 #include <anvilwalk/process/PacketRouter.h>
+#include <anvilwalk/process/Publisher.h>
 #include <anvilwalk/process/RetryPolicy.h>
 #include <anvilwalk/process/RoutingState.h>
 #include <anvilwalk/process/StoreFollower.h>
--- a/packages/version/include/anvilwalk/version.h
+++ b/packages/version/include/anvilwalk/version.h
@@ -4,6 +4,7 @@
 
 #include <anvilwalk/version/ConfigCodec.h>
 #include <anvilwalk/version/ConfigSnapshot.h>
+#include <anvilwalk/version/PublishPlan.h>
 #include <anvilwalk/version/ServiceConfig.h>
 #include <anvilwalk/version/ServiceFile.h>
 #include <anvilwalk/version/TableSnapshot.h>
--- /dev/null
+++ b/tests/fakes/TurnScheduler.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <pcg_random.hpp>
+
+namespace anvilwalk::fakes {
+
+// Runs two threads one at a time and switches between them only where they call pass(), in an order that the
+// seed decides.
+class TurnScheduler {
+public:
+    explicit TurnScheduler(std::uint64_t seed)
+        : m_random(seed)
+        , m_turn(static_cast<int>(m_random(2)))
+    {
+    }
+
+    // To be called by thread 0 or 1 before each of its steps.
+    void pass(int thread)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_running == thread)
+            handOver();
+        m_changed.wait(lock, [&] { return m_turn == thread && m_running == -1; });
+        m_running = thread;
+    }
+
+    // To be called by each thread after its last step.
+    void finish(int thread)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_finished[thread] = true;
+        if (m_running == thread)
+            handOver();
+        else if (m_turn == thread)
+            m_turn = 1 - thread;
+        m_changed.notify_all();
+    }
+
+private:
+    void handOver()
+    {
+        m_running = -1;
+        m_turn = static_cast<int>(m_random(2));
+        if (m_finished[m_turn])
+            m_turn = 1 - m_turn;
+        m_changed.notify_all();
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    pcg32 m_random;
+    int m_turn;
+    int m_running = -1;
+    bool m_finished[2] = { false, false };
+};
+
+} // namespace anvilwalk::fakes
