--- a/packages/process/src/DataCentreStatus.cpp
+++ b/packages/process/src/DataCentreStatus.cpp
@@ -14,10 +14,17 @@
         return object.is_object() && found != object.end() ? *found : null;
     }
 
-    std::uint64_t numberIn(const json& object, const char* key, std::uint64_t fallback = 0)
+    std::optional<std::uint64_t> findNumber(const json& object, const char* key)
     {
         const json& value = memberOf(object, key);
-        return value.is_number_unsigned() ? value.get<std::uint64_t>() : fallback;
+        if (value.is_number_unsigned() || (value.is_number_integer() && value.get<std::int64_t>() >= 0))
+            return value.get<std::uint64_t>();
+        return std::nullopt;
+    }
+
+    std::uint64_t numberIn(const json& object, const char* key, std::uint64_t fallback = 0)
+    {
+        return findNumber(object, key).value_or(fallback);
     }
 
     std::string textIn(const json& object, const char* key)
@@ -34,15 +41,12 @@
 
     TargetStatus decodeTarget(const json& value)
     {
-        TargetStatus target { .host = textIn(value, "host"),
+        return { .host = textIn(value, "host"),
             .leaving = booleanIn(value, "leaving", false),
             .healthy = booleanIn(value, "healthy", true),
             .weight = static_cast<std::uint32_t>(numberIn(value, "weight", 1000)),
-            .openConnections = {},
+            .openConnections = findNumber(value, "openConnections"),
             .flowsLeft = numberIn(value, "flowsLeft") };
-        if (memberOf(value, "openConnections").is_number_unsigned())
-            target.openConnections = numberIn(value, "openConnections");
-        return target;
     }
 
     ServiceCounts decodeService(const json& value)
--- a/packages/process/src/ObjectCodec.cpp
+++ b/packages/process/src/ObjectCodec.cpp
@@ -70,7 +70,7 @@
 Result<WriterLease> decodeLease(const StoredObject& object)
 {
     const json& spec = object.spec;
-    if (!spec.is_object() || !spec.contains("renewals") || !spec["renewals"].is_number_unsigned())
+    if (!spec.is_object() || !spec.contains("renewals") || !spec["renewals"].is_number_integer())
         return invalid("the lease object is not valid");
     return WriterLease { .holder = BalancerId(textOf(spec, "holder")),
         .renewals = spec["renewals"].get<std::uint64_t>(),
