--- /dev/null
+++ b/tests/process/SettingsTest.cpp
@@ -0,0 +1,122 @@
+#include <anvilwalk/process.h>
+
+#include <catch2/catch.hpp>
+
+using namespace anvilwalk;
+
+namespace {
+
+const std::string validText = R"([balancer]
+id = "b1"
+data_centre = "lima-a"
+packet_address = "10.0.0.1:6000"
+relay_address = "10.0.0.1:6001"
+control_address = "10.0.0.1:6002"
+[platform]
+url = "http://10.0.0.9:8080"
+[metrics]
+address = "10.0.0.1:6003"
+)";
+
+Findings findingsOf(const std::string& text)
+{
+    const auto result = parseSettings(text, "b.toml");
+    REQUIRE(std::holds_alternative<Findings>(result));
+    return std::get<Findings>(result);
+}
+
+} // namespace
+
+TEST_CASE("Settings with only the required keys get the standard values")
+{
+    const auto result = parseSettings(validText, "b.toml");
+    REQUIRE(std::holds_alternative<Settings>(result));
+    const auto& settings = std::get<Settings>(result);
+    CHECK(settings.balancer == BalancerId("b1"));
+    CHECK(settings.dataCentre == DataCentreId("lima-a"));
+    CHECK(settings.packetAddress == Ipv4Endpoint { { 0x0a000001 }, 6000 });
+    CHECK(settings.threads == 2);
+    CHECK(settings.flowCapacity == 300'000);
+    CHECK(settings.drainDeadline == std::chrono::seconds(30));
+    CHECK(settings.platformTimeout == std::chrono::milliseconds(1000));
+    CHECK_FALSE(settings.refusalGateway);
+    CHECK(settings.traceOutput.empty());
+}
+
+TEST_CASE("Settings read every optional key")
+{
+    const auto result = parseSettings(validText + R"([refusal]
+gateway = "10.0.0.8:7001"
+[log]
+level = "debug"
+[tracing]
+sample_every = 10
+output = "-"
+[peers]
+seeds = ["10.0.0.2:6002", "10.0.0.3:6002"]
+)",
+        "b.toml");
+    REQUIRE(std::holds_alternative<Settings>(result));
+    const auto& settings = std::get<Settings>(result);
+    CHECK(settings.refusalGateway == Ipv4Endpoint { { 0x0a000008 }, 7001 });
+    CHECK(settings.logLevel == "debug");
+    CHECK(settings.traceSampleEvery == 10);
+    CHECK(settings.traceOutput == "-");
+    CHECK(settings.seeds.size() == 2);
+}
+
+// Guards against an operator who has to repair a file fault by fault.
+TEST_CASE("Settings report all faults together, each with its place and a hint")
+{
+    const Findings findings = findingsOf(R"([balancer]
+id = ""
+data_centre = 7
+packet_address = "10.0.0.1"
+relay_address = "10.0.0.1:6001"
+control_address = "10.0.0.1:6002"
+threads = 0
+flow_capacity = "many"
+colour = "red"
+[metrics]
+address = "10.0.0.1:6002"
+[log]
+level = "loud"
+[peers]
+seeds = ["10.0.0.2:6002", "nowhere"]
+[weather]
+)");
+    CHECK(findings.toString() == R"(b.toml: Key "url" is missing in [platform]. (write it like "http://10.0.0.1:8080")
+b.toml:2:6: "id" has 0 characters. (use 1 to 64 characters)
+b.toml:3:15: "data_centre" is not a text. (name the data centre of this balancer)
+b.toml:4:18: "packet_address" is not an IPv4 address with a port. (write it like "10.0.0.1:7000")
+b.toml:7:11: "threads" is 0, which is out of range. (use a whole number from 1 to 64)
+b.toml:8:17: "flow_capacity" is not a whole number. (use a whole number from 1000 to 10000000)
+b.toml:9:1: Unknown key "colour" in [balancer]. (use control_address, data_centre, drain_deadline_seconds, flow_capacity, id, packet_address, relay_address, threads)
+b.toml:11:11: "address" equals "control_address". (give each its own port)
+b.toml:13:9: Unknown log level "loud". (use debug, error, info, trace, warn)
+b.toml:15:27: "seeds" is not an IPv4 address with a port. (write it like "10.0.0.1:7000")
+b.toml:16:2: Unknown section "weather". (use balancer, platform, refusal, metrics, log, tracing or peers)
+)");
+}
+
+TEST_CASE("Settings report a missing key at its section")
+{
+    std::string text = validText;
+    text.erase(text.find("id = "), std::string("id = \"b1\"\n").size());
+    CHECK(findingsOf(text).toString()
+        == "b.toml:1:1: Key \"id\" is missing in [balancer]. (name the balancer, unique in the system)\n");
+}
+
+TEST_CASE("Settings report the place of a TOML syntax error")
+{
+    const Findings findings = findingsOf(validText + "[log\n");
+    REQUIRE(findings.all().size() == 1);
+    CHECK(findings.all().front().place.line == 11);
+}
+
+TEST_CASE("Settings name a file that cannot be read")
+{
+    const auto result = loadSettings("/nonexistent/settings.toml");
+    REQUIRE(std::holds_alternative<Findings>(result));
+    CHECK(std::get<Findings>(result).all().front().place.file == "/nonexistent/settings.toml");
+}
