--- a/packages/process/src/DataCentreStatus.cpp
+++ b/packages/process/src/DataCentreStatus.cpp
@@ -49,9 +49,9 @@
             .flowsLeft = numberIn(value, "flowsLeft") };
     }
 
-    ServiceCounts decodeService(const json& value)
+    ServiceTotals decodeService(const json& value)
     {
-        ServiceCounts service { .name = ServiceName(textIn(value, "name")),
+        ServiceTotals service { .name = ServiceName(textIn(value, "name")),
             .openFlows = numberIn(value, "openFlows"),
             .openings = numberIn(value, "openings"),
             .refused = numberIn(value, "refused"),
