--- a/packages/version/src/ServicePlan.cpp
+++ b/packages/version/src/ServicePlan.cpp
@@ -56,8 +56,7 @@
         TableTarget& target = found->second;
         m_known.insert(target.id);
         m_wantedWeights[target.id] = known.weight;
-        if (known.doubted)
-            m_doubted.insert(target.id);
+        noteHealth(target.id, known);
         if (target.leaving != known.leaving || target.healthUrl != known.healthUrl)
             m_changed = true;
         target.leaving = known.leaving;
@@ -86,9 +85,16 @@
             .weight = m_isNew ? known.weight : 0 });
     m_known.insert(id);
     m_wantedWeights[id] = known.weight;
+    noteHealth(id, known);
+    m_changed = true;
+}
+
+void ServicePlan::noteHealth(TargetId id, const KnownTarget& known)
+{
     if (known.doubted)
         m_doubted.insert(id);
-    m_changed = true;
+    if (known.doubted || known.suspected)
+        m_suspected.insert(id);
 }
 
 // If more than half of the targets look bad, the measurement is more likely wrong than the targets.
@@ -96,9 +102,9 @@
 {
     const auto staying = std::count_if(
         m_slots.targets.begin(), m_slots.targets.end(), [](const auto& entry) { return !entry.second.leaving; });
-    const auto doubted = std::count_if(
-        m_doubted.begin(), m_doubted.end(), [&](TargetId id) { return !m_slots.targets.at(id).leaving; });
-    if (doubted * 2 > staying && !m_options.removeAnyNumber)
+    const auto bad = std::count_if(
+        m_suspected.begin(), m_suspected.end(), [&](TargetId id) { return !m_slots.targets.at(id).leaving; });
+    if (bad * 2 > staying && !m_options.removeAnyNumber)
         m_doubted.clear();
 }
 
