--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -4,6 +4,7 @@
 
 #include <anvilwalk/process/CellController.h>
 #include <anvilwalk/process/CellTestSwitches.h>
+#include <anvilwalk/process/DataCentreStatus.h>
 #include <anvilwalk/process/DoubtAgreement.h>
 #include <anvilwalk/process/EchoGate.h>
 #include <anvilwalk/process/FlowRecordCodec.h>
@@ -19,6 +20,9 @@
 #include <anvilwalk/process/RecordExchange.h>
 #include <anvilwalk/process/RelayCodec.h>
 #include <anvilwalk/process/ResetBuilder.h>
+#include <anvilwalk/process/Publisher.h>
+#include <anvilwalk/process/ReportFigures.h>
+#include <anvilwalk/process/ReportLayout.h>
 #include <anvilwalk/process/RetryPolicy.h>
 #include <anvilwalk/process/RouterCounters.h>
 #include <anvilwalk/process/RoutingState.h>
