peer: keep gRPC initialised until the process ends

The last client or server to go shut the library down and waited up to 10 s for gRPC's own poller, which delayed the end of a graceful stop.

--- a/packages/process/grpc/GrpcPeerClient.cpp
+++ b/packages/process/grpc/GrpcPeerClient.cpp
@@ -1,5 +1,6 @@
 #include <anvilwalk/process/grpc/GrpcPeerClient.h>
 
+#include "GrpcLibrary.h"
 #include "HeartbeatWriter.h"
 #include "WireSize.h"
 
@@ -70,6 +71,7 @@
         : m_options(options)
         , m_random(std::random_device {}())
     {
+        keepGrpcInitialised();
     }
 
     ~Implementation();
--- a/packages/process/grpc/GrpcPeerServer.cpp
+++ b/packages/process/grpc/GrpcPeerServer.cpp
@@ -1,5 +1,6 @@
 #include <anvilwalk/process/grpc/GrpcPeerServer.h>
 
+#include "GrpcLibrary.h"
 #include "WireSize.h"
 
 #include <atomic>
@@ -57,6 +58,7 @@
     Implementation(const Ipv4Endpoint& listen, PeerHandler& handler)
         : m_handler(handler)
     {
+        keepGrpcInitialised();
         int port = 0;
         grpc::ServerBuilder builder;
         // Two processes on one port would share the heartbeats of a peer between them.
