--- a/apps/anvilwalkd/ControlLoop.cpp
+++ b/apps/anvilwalkd/ControlLoop.cpp
@@ -223,6 +223,7 @@
         known[id] = heard.controlEndpoint;
     known.erase(m_options.controller.self);
     std::vector<KnownBalancer> result;
+    result.reserve(known.size());
     for (const auto& [id, endpoint] : known)
         result.push_back({ .id = id, .controlEndpoint = endpoint });
     return result;
--- a/apps/anvilwalkd/PacketWorker.cpp
+++ b/apps/anvilwalkd/PacketWorker.cpp
@@ -23,6 +23,7 @@
     , m_relaySocket(std::move(relaySocket))
     , m_packetReady(m_context, m_packetSocket.descriptor())
     , m_relayReady(m_context, m_relaySocket.descriptor())
+    , m_ownAddress(m_packetSocket.localEndpoint().address)
     , m_relayMessages(datagramsPerBatch)
     , m_relayBytes(datagramsPerBatch * maxDatagramBytes)
 {
@@ -125,10 +126,13 @@
 void PacketWorker::routePacket(std::span<const std::uint8_t> bytes)
 {
     const auto parsed = PacketView::parse(bytes);
-    if (const auto* packet = std::get_if<PacketView>(&parsed))
-        carryOut(m_options.router.route(*packet, m_now), *packet, 0);
-    else
+    const auto* packet = std::get_if<PacketView>(&parsed);
+    if (packet == nullptr)
         m_options.noteDrop(std::get<DropReason>(parsed));
+    else if (packet->key().destination == m_ownAddress)
+        m_options.noteDrop(DropReason::AddressedToBalancer);
+    else
+        carryOut(m_options.router.route(*packet, m_now), *packet, 0);
 }
 
 void PacketWorker::routeRelayed(std::size_t index, std::span<const std::uint8_t> bytes)
--- a/apps/anvilwalkd/PacketWorker.h
+++ b/apps/anvilwalkd/PacketWorker.h
@@ -68,6 +68,8 @@
     Descriptor m_packetReady;
     Descriptor m_relayReady;
 
+    const Ipv4Address m_ownAddress;
+
     ReceiveBatch m_received;
     SendBatch m_toTargets;
     SendBatch m_toPeers;
--- a/tests/process/PacketWorkerTest.cpp
+++ b/tests/process/PacketWorkerTest.cpp
@@ -170,6 +170,10 @@
     sendTo(fixture.client, fixture.packetEndpoint, Bytes(maxDatagramBytes + 1, 0x45));
     sendTo(fixture.client, fixture.relayEndpoint, Bytes(100, 0xff));
     sendTo(fixture.client, fixture.relayEndpoint, {});
+    FlowKey toBalancer = flow;
+    toBalancer.destination = fixture.packetEndpoint.address;
+    sendTo(fixture.client, fixture.packetEndpoint, fakes::buildTcpPacket(toBalancer, { .syn = true }));
+    CHECK(fakes::await([&] { return fixture.dropsOf(DropReason::AddressedToBalancer) == 1; }));
     CHECK(fakes::await([&] { return fixture.dropsOf(DropReason::Truncated) == 3; }));
     CHECK(fakes::await([&] { return fixture.dropsOf(DropReason::BadVersion) == 1; }));
     CHECK(fakes::await([&] { return fixture.dropsOf(DropReason::BadRelayHeader) == 2; }));
