--- a/apps/anvilwalkd/Balancer.cpp
+++ b/apps/anvilwalkd/Balancer.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds stopCheckInterval { 50 };
+    constexpr std::chrono::milliseconds observeInterval { 500 };
     // No packet for this long means that the fabric has stopped sending here.
     constexpr std::chrono::seconds quietBeforeExit { 1 };
     constexpr unsigned httpUnavailable = 503;
@@ -70,6 +71,7 @@
         m_workerThreads.emplace_back([&worker] { worker->run(); });
     startControl();
     startPolling();
+    observeTargets();
     awaitSignal();
     logInfo(LogPart::App,
         "Balancer " + m_settings.balancer.value() + " serves " + m_settings.packetAddress.toString() + ".");
@@ -230,6 +232,20 @@
     return m_statusSource->status();
 }
 
+// Hands what the packet threads saw of the targets to the controller, again and again.
+void Balancer::observeTargets()
+{
+    for (const auto& worker : m_workers) {
+        for (const TargetObservation& observation : worker->takeObservations())
+            m_control->handleTargetObservation(observation);
+    }
+    m_observeTimer.expires_after(observeInterval);
+    m_observeTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            observeTargets();
+    });
+}
+
 void Balancer::awaitSignal()
 {
     m_signals.add(SIGTERM);
--- a/apps/anvilwalkd/Balancer.h
+++ b/apps/anvilwalkd/Balancer.h
@@ -51,6 +51,7 @@
     HttpAnswer answerHttp(const std::string& path);
     std::uint64_t controlBytesSent() const;
     std::uint64_t sendFailures() const;
+    void observeTargets();
     void awaitSignal();
     void handleSignal();
     void awaitStop();
@@ -78,6 +79,7 @@
     boost::asio::io_context m_context { 1 };
     boost::asio::signal_set m_signals { m_context };
     boost::asio::steady_timer m_stopTimer { m_context };
+    boost::asio::steady_timer m_observeTimer { m_context };
     Metrics m_metrics;
     std::unique_ptr<HttpEndpoint> m_http;
     std::unique_ptr<TargetPoller> m_poller;
--- a/apps/anvilwalkd/ControlLoop.cpp
+++ b/apps/anvilwalkd/ControlLoop.cpp
@@ -155,6 +155,12 @@
     withController([&](CellController& controller, MonotonicTime now) { controller.handleTargetReport(report, now); });
 }
 
+void ControlLoop::handleTargetObservation(const TargetObservation& observation)
+{
+    withController(
+        [&](CellController& controller, MonotonicTime now) { controller.handleTargetObservation(observation, now); });
+}
+
 void ControlLoop::handleStoreReachable(bool reachable)
 {
     withController(
--- a/apps/anvilwalkd/ControlLoop.h
+++ b/apps/anvilwalkd/ControlLoop.h
@@ -47,6 +47,7 @@
     void handleConfig(ConfigSnapshotPointer);
     void handleVmList(const std::vector<VmEntry>&);
     void handleTargetReport(const TargetReport&);
+    void handleTargetObservation(const TargetObservation&);
     void handleStoreReachable(bool);
     void handleLease(const WriterLease&);
     void requestStop();
--- a/apps/anvilwalkd/PacketWorker.h
+++ b/apps/anvilwalkd/PacketWorker.h
@@ -43,6 +43,8 @@
 
     // Time of the last packet from the fabric or a peer; the epoch if there was none.
     MonotonicTime lastPacket() const { return MonotonicTime(Duration(m_lastPacketNs.load())); }
+    // How flows began since the last call; see OpeningObserver.
+    std::vector<TargetObservation> takeObservations() { return m_openings.take(); }
     // Packets that the kernel did not take.
     std::uint64_t sendFailures() const { return m_sendFailures; }
 
@@ -71,6 +73,7 @@
     const Ipv4Address m_ownAddress;
 
     ReceiveBatch m_received;
+    OpeningObserver m_openings;
     SendBatch m_toTargets;
     SendBatch m_toPeers;
     std::vector<relay::RelayedPacket> m_relayMessages;
--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -13,6 +13,7 @@
 #include <anvilwalk/process/Metrics.h>
 #include <anvilwalk/process/ObjectCodec.h>
 #include <anvilwalk/process/ObjectStore.h>
+#include <anvilwalk/process/OpeningObserver.h>
 #include <anvilwalk/process/PacketRouter.h>
 #include <anvilwalk/process/PauseDetector.h>
 #include <anvilwalk/process/PeerTransport.h>
--- /dev/null
+++ b/packages/process/src/OpeningObserver.cpp
@@ -0,0 +1,54 @@
+#include <anvilwalk/process/OpeningObserver.h>
+
+namespace anvilwalk {
+
+namespace {
+
+    // A copy that follows sooner was duplicated on the way; TCP repeats an opening packet after about 1 s.
+    constexpr std::chrono::milliseconds leastRepeatInterval { 500 };
+
+} // namespace
+
+OpeningObserver::OpeningObserver()
+    : m_openings(openingCount)
+{
+}
+
+void OpeningObserver::noteOpening(std::uint64_t flowHash, PacketKind kind, TargetId target, MonotonicTime now)
+{
+    Opening& opening = m_openings[flowHash % openingCount];
+    if (kind != PacketKind::Opening) {
+        // A reset by the client says nothing about the target.
+        if (kind == PacketKind::Data)
+            count(opening.target, &TargetObservation::progressedFlows);
+        opening = {};
+        return;
+    }
+    const bool known = opening.flowHash == flowHash && opening.target == target;
+    if (known && now - opening.at < leastRepeatInterval)
+        return;
+    if (known)
+        count(target, &TargetObservation::repeatedOpenings);
+    opening = { .flowHash = flowHash, .at = now, .target = target };
+}
+
+void OpeningObserver::count(TargetId target, std::uint32_t TargetObservation::*field)
+{
+    const std::lock_guard lock(m_mutex);
+    TargetObservation& observation = m_observations[target];
+    observation.target = target;
+    ++(observation.*field);
+}
+
+std::vector<TargetObservation> OpeningObserver::take()
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<TargetObservation> result;
+    result.reserve(m_observations.size());
+    for (const auto& [target, observation] : m_observations)
+        result.push_back(observation);
+    m_observations.clear();
+    return result;
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/tests/process/OpeningObserverTest.cpp
@@ -0,0 +1,68 @@
+#include <anvilwalk/process.h>
+
+#include <catch2/catch.hpp>
+#include <fakes/FakeClock.h>
+
+using namespace anvilwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t flow = 12345;
+const TargetId target(7);
+
+} // namespace
+
+TEST_CASE("An opening that is repeated without a later packet counts against its target")
+{
+    fakes::FakeClock clock;
+    OpeningObserver observer;
+    observer.note(flow, PacketKind::Opening, target, clock.now());
+    CHECK(observer.take().empty());
+    clock.advance(1s);
+    observer.note(flow, PacketKind::Opening, target, clock.now());
+    const auto observations = observer.take();
+    REQUIRE(observations.size() == 1);
+    CHECK(observations[0].target == target);
+    CHECK(observations[0].repeatedOpenings == 1);
+    CHECK(observations[0].progressedFlows == 0);
+    CHECK(observer.take().empty());
+}
+
+TEST_CASE("A later packet counts once for the target, and a new opening after it is no repetition")
+{
+    fakes::FakeClock clock;
+    OpeningObserver observer;
+    observer.note(flow, PacketKind::Opening, target, clock.now());
+    clock.advance(1s);
+    observer.note(flow, PacketKind::Data, target, clock.now());
+    observer.note(flow, PacketKind::Data, target, clock.now());
+    observer.note(flow, PacketKind::Opening, target, clock.now());
+    const auto observations = observer.take();
+    REQUIRE(observations.size() == 1);
+    CHECK(observations[0].progressedFlows == 1);
+    CHECK(observations[0].repeatedOpenings == 0);
+}
+
+// Guards against a healthy target in doubt because the network duplicates packets or clients give up.
+TEST_CASE("Copies made by the network and closing packets count for nothing")
+{
+    fakes::FakeClock clock;
+    OpeningObserver observer;
+    observer.note(flow, PacketKind::Opening, target, clock.now());
+    clock.advance(20ms);
+    observer.note(flow, PacketKind::Opening, target, clock.now());
+    observer.note(flow, PacketKind::Closing, target, clock.now());
+    observer.note(flow, PacketKind::Data, target, clock.now());
+    CHECK(observer.take().empty());
+}
+
+TEST_CASE("A repeated opening that goes to another target does not count against it")
+{
+    fakes::FakeClock clock;
+    OpeningObserver observer;
+    observer.note(flow, PacketKind::Opening, target, clock.now());
+    clock.advance(1s);
+    observer.note(flow, PacketKind::Opening, TargetId(8), clock.now());
+    CHECK(observer.take().empty());
+}
