--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -4,6 +4,7 @@
 
 #include <anvilwalk/process/CellController.h>
 #include <anvilwalk/process/CellTestSwitches.h>
+#include <anvilwalk/process/DataCentreStatus.h>
 #include <anvilwalk/process/DoubtAgreement.h>
 #include <anvilwalk/process/EchoGate.h>
 #include <anvilwalk/process/FlowRecordCodec.h>
@@ -17,8 +18,11 @@
 #include <anvilwalk/process/PacketRouter.h>
 #include <anvilwalk/process/PauseDetector.h>
 #include <anvilwalk/process/PeerTransport.h>
+#include <anvilwalk/process/Publisher.h>
 #include <anvilwalk/process/RecordExchange.h>
 #include <anvilwalk/process/RelayCodec.h>
+#include <anvilwalk/process/ReportFigures.h>
+#include <anvilwalk/process/ReportLayout.h>
 #include <anvilwalk/process/ResetBuilder.h>
 #include <anvilwalk/process/RetryPolicy.h>
 #include <anvilwalk/process/RouterCounters.h>
