--- a/packages/process/include/anvilwalk/process/DataCentreStatus.h
+++ b/packages/process/include/anvilwalk/process/DataCentreStatus.h
@@ -23,7 +23,7 @@
 
 // Counts of one service, summed over the balancers of a data centre. All but openFlows count from the start of
 // each balancer.
-struct ServiceCounts {
+struct ServiceSummary {
     ServiceName name;
     std::uint64_t openFlows = 0;
     std::uint64_t openings = 0;
@@ -46,7 +46,7 @@
     std::int64_t writtenAtUnixMs = 0;
     std::vector<BalancerVersions> balancers;
     std::vector<BalancerId> missingBalancers;
-    std::vector<ServiceCounts> services;
+    std::vector<ServiceSummary> services;
 };
 
 // Reads the spec of a status object. Members that are absent count as 0 or empty, so that an older writer's
--- a/packages/process/src/DataCentreStatus.cpp
+++ b/packages/process/src/DataCentreStatus.cpp
@@ -49,9 +49,9 @@
             .flowsLeft = numberIn(value, "flowsLeft") };
     }
 
-    ServiceCounts decodeService(const json& value)
+    ServiceSummary decodeService(const json& value)
     {
-        ServiceCounts service { .name = ServiceName(textIn(value, "name")),
+        ServiceSummary service { .name = ServiceName(textIn(value, "name")),
             .openFlows = numberIn(value, "openFlows"),
             .openings = numberIn(value, "openings"),
             .refused = numberIn(value, "refused"),
--- a/packages/process/src/ReportFigures.cpp
+++ b/packages/process/src/ReportFigures.cpp
@@ -26,7 +26,7 @@
         return sum > 0 ? highest * static_cast<double>(count) / sum : 1.0;
     }
 
-    ReportCounts countService(const ServiceCounts& service)
+    ReportCounts countService(const ServiceSummary& service)
     {
         ReportCounts counts { .openFlows = service.openFlows,
             .newFlows = service.openings,
@@ -53,7 +53,7 @@
     // A counter that went back belongs to a balancer that was restarted in the interval.
     void subtract(std::uint64_t& now, std::uint64_t before) { now = now >= before ? now - before : now; }
 
-    void subtract(ReportCounts& now, const ServiceCounts& before)
+    void subtract(ReportCounts& now, const ServiceSummary& before)
     {
         subtract(now.newFlows, before.openings);
         subtract(now.refused, before.refused);
@@ -74,7 +74,7 @@
             part.upToDate += balancer.configVersion >= input.configVersion ? 1 : 0;
         for (const BalancerId& id : status->missingBalancers)
             part.missing.push_back("balancer " + id.value());
-        for (const ServiceCounts& service : status->services) {
+        for (const ServiceSummary& service : status->services) {
             for (const TargetStatus& target : service.targets) {
                 if (!target.openConnections)
                     part.missing.push_back("load of " + target.host);
@@ -103,7 +103,7 @@
     {
         std::set<ServiceName> names(input.services.begin(), input.services.end());
         if (status != nullptr) {
-            for (const ServiceCounts& service : status->services)
+            for (const ServiceSummary& service : status->services)
                 names.insert(service.name);
         }
         return { names.begin(), names.end() };
@@ -112,13 +112,13 @@
     std::optional<ReportCounts> countsOf(
         const ReportInput& input, const DataCentreStatus* status, const ServiceName& name)
     {
-        const ServiceCounts* service
-            = status == nullptr ? nullptr : findBy(status->services, name, &ServiceCounts::name);
+        const ServiceSummary* service
+            = status == nullptr ? nullptr : findBy(status->services, name, &ServiceSummary::name);
         if (service == nullptr)
             return std::nullopt;
         ReportCounts counts = countService(*service);
         const auto* earlier = findBy(input.earlierStatuses, status->dataCentre, &DataCentreStatus::dataCentre);
-        const auto* before = earlier == nullptr ? nullptr : findBy(earlier->services, name, &ServiceCounts::name);
+        const auto* before = earlier == nullptr ? nullptr : findBy(earlier->services, name, &ServiceSummary::name);
         if (before != nullptr)
             subtract(counts, *before);
         return counts;
--- a/packages/process/src/ReportLayout.cpp
+++ b/packages/process/src/ReportLayout.cpp
@@ -16,17 +16,17 @@
     };
 
     constexpr std::array<Column, 11> columns {
-        Column { "DATA CENTRE", 12, true },
+        Column { "DATA CENTRE", 11, true },
         Column { "SERVICE", 26, true },
-        Column { "TARGETS", 8, false },
-        Column { "LEAVING", 8, false },
-        Column { "OPEN FLOWS", 12, false },
-        Column { "NEW FLOWS", 12, false },
-        Column { "REFUSED", 10, false },
-        Column { "DROPPED", 10, false },
-        Column { "RELAYED", 12, false },
-        Column { "IMBALANCE", 10, false },
-        Column { "FLOWS LEFT", 11, false },
+        Column { "TARGETS", 7, false },
+        Column { "LEAVING", 7, false },
+        Column { "OPEN FLOWS", 10, false },
+        Column { "NEW FLOWS", 10, false },
+        Column { "REFUSED", 9, false },
+        Column { "DROPPED", 9, false },
+        Column { "RELAYED", 10, false },
+        Column { "IMBALANCE", 9, false },
+        Column { "FLOWS LEFT", 10, false },
     };
 
     using Cells = std::array<std::string, columns.size()>;
