process: wait for the VM list before a balancer serves alone

A balancer without seeds that had read the slot table but not yet the VM list took itself for the only one: it was ready at once and sent packets of moving slots to candidates of its own choice. The traces of a process test show 45 ms of this after a join, and a flow that was reset at the old target as the result.

--- a/packages/process/include/anvilwalk/process/Membership.h
+++ b/packages/process/include/anvilwalk/process/Membership.h
@@ -88,8 +88,12 @@
     void fillHeartbeat(peer::Heartbeat&, TableVersion echoed, ConfigVersion, MonotonicTime now);
     // Endpoints to send heartbeats to: members, and balancers that the seeds or the VM list name.
     std::vector<Ipv4Endpoint> heartbeatEndpoints() const;
-    void setListedEndpoints(std::vector<Ipv4Endpoint> endpoints) { m_listedEndpoints = std::move(endpoints); }
-    // Other balancers may exist that have not been heard yet.
+    void setListedEndpoints(std::vector<Ipv4Endpoint> endpoints)
+    {
+        m_listedEndpoints = std::move(endpoints);
+        m_listKnown = true;
+    }
+    // Other balancers may exist that have not been heard yet. So it is as long as the VM list is not known.
     bool expectsPeers() const;
 
 private:
@@ -111,6 +115,7 @@
     // Dead incarnations that still send, with the time of their last heartbeat.
     std::map<BalancerId, std::pair<Incarnation, MonotonicTime>> m_deadSenders;
     std::vector<Ipv4Endpoint> m_listedEndpoints;
+    bool m_listKnown = false;
     // Members that died, which may come back after a cut.
     std::map<BalancerId, std::pair<Ipv4Endpoint, MonotonicTime>> m_formerEndpoints;
     std::deque<std::pair<std::uint64_t, MonotonicTime>> m_sent;
--- a/packages/process/src/Membership.cpp
+++ b/packages/process/src/Membership.cpp
@@ -405,7 +405,7 @@
         return std::any_of(endpoints.begin(), endpoints.end(),
             [&](const Ipv4Endpoint& endpoint) { return endpoint != m_options.controlEndpoint; });
     };
-    return others(m_options.seeds) || others(m_listedEndpoints);
+    return !m_listKnown || others(m_options.seeds) || others(m_listedEndpoints);
 }
 
 } // namespace anvilwalk
