--- /dev/null
+++ b/apps/anvilwalk/SystemReader.cpp
@@ -0,0 +1,67 @@
+#include "SystemReader.h"
+
+#include <chrono>
+
+namespace anvilwalk {
+
+namespace {
+
+    Result<ConfigIndex> readIndex(ObjectStore& store)
+    {
+        const auto object = store.get(objectkind::configIndex, "index");
+        if (isOk(object))
+            return decodeIndex(valueOf(object).spec);
+        if (errorOf(object).code == ErrorCode::NotFound)
+            return ConfigIndex {};
+        return errorOf(object);
+    }
+
+    void addVms(const ObjectList& list, ReportInput& input)
+    {
+        for (const StoredObject& object : list.items) {
+            const auto vm = decodeVm(object);
+            if (!isOk(vm))
+                continue;
+            input.dataCentres.insert(valueOf(vm).dataCentre);
+            if (valueOf(vm).entry.role == VmEntry::Role::Entry && !valueOf(vm).entry.leaving)
+                input.listedBalancers.insert(valueOf(vm).entry.balancer);
+        }
+    }
+
+} // namespace
+
+Result<SystemState> readSystem(ObjectStore& store)
+{
+    const auto index = readIndex(store);
+    if (!isOk(index))
+        return errorOf(index);
+    const auto vms = store.list(objectkind::virtualMachine);
+    if (!isOk(vms))
+        return errorOf(vms);
+    const auto statuses = store.list(objectkind::status);
+    if (!isOk(statuses))
+        return errorOf(statuses);
+
+    SystemState state { .index = valueOf(index), .report = {} };
+    state.report.nowUnixMs = unixTimeMs();
+    state.report.configVersion = state.index.version;
+    for (const IndexEntry& entry : state.index.services)
+        state.report.services.push_back(entry.name);
+    addVms(valueOf(vms), state.report);
+    for (const StoredObject& object : valueOf(statuses).items) {
+        auto status = decodeStatus(object.spec);
+        if (isOk(status))
+            state.report.statuses.push_back(std::move(valueOf(status)));
+        else
+            state.report.dataCentres.insert(DataCentreId(object.name));
+    }
+    return state;
+}
+
+std::int64_t unixTimeMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/apps/anvilwalk/main.cpp
@@ -0,0 +1,194 @@
+#include "Commands.h"
+
+#include <anvilwalk/version.h>
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <optional>
+
+using namespace anvilwalk;
+
+namespace {
+
+constexpr const char* overview = R"(anvilwalk controls the anvilwalk load balancer.
+
+Usage:
+  anvilwalk validate DIR...   check service files without changing anything
+  anvilwalk publish DIR...    put the services that the files describe in force
+  anvilwalk status            show which version is in force where, and what is missing
+  anvilwalk report            show flows, refusals, drops and imbalance of every service
+
+DIR is a service file or a folder that is searched for files named anvilwalk.toml or NAME.anvilwalk.toml.
+Run anvilwalk COMMAND --help for the options of a command.
+
+A first publish:
+  anvilwalk validate services/
+  anvilwalk publish services/ --platform http://10.0.0.5:8001 --dry-run
+  anvilwalk publish services/ --platform http://10.0.0.5:8001 --wait
+
+Exit codes:
+  0  done
+  1  the files have faults, or the publish would break a rule; nothing was put in force
+  2  wrong use of the command
+  3  another publish changed the same services first; nothing was put in force
+  4  the platform did not take the change; nothing is in force and nothing can be later
+  5  it is not known whether the change is in force
+  6  the change was in force and has been changed again by another publish
+  7  accepted, but not seen in force on every balancer in time (--wait)
+  8  printed, but parts are missing or old (status, report)
+  9  the platform could not be read (status, report)
+)";
+
+using Command = std::function<ExitCode(const CommandOptions&)>;
+
+struct CommandEntry {
+    const char* description;
+    bool takesPaths;
+    bool takesPlatform;
+    Command run;
+};
+
+const std::map<std::string, CommandEntry>& commands()
+{
+    static const std::map<std::string, CommandEntry> entries {
+        { "validate", { "Checks service files and lists all faults with their place.", true, false, runValidate } },
+        { "publish", { "Puts the services that the files describe in force.", true, true, runPublish } },
+        { "status", { "Shows which version is in force where, and what is missing.", false, true, runStatus } },
+        { "report", { "Shows the figures of every service (docs/report.md).", false, true, runReport } },
+    };
+    return entries;
+}
+
+std::string environment(const char* name)
+{
+    const char* value = std::getenv(name);
+    return value == nullptr ? "" : value;
+}
+
+cxxopts::Options makeOptions(const std::string& name, const CommandEntry& entry)
+{
+    cxxopts::Options options("anvilwalk " + name, entry.description);
+    auto add = options.add_options();
+    add("help", "show this help");
+    if (entry.takesPaths) {
+        add("paths", "service files or folders", cxxopts::value<std::vector<std::string>>());
+        options.parse_positional("paths");
+        options.positional_help("DIR...");
+    }
+    if (entry.takesPlatform)
+        add("platform", "URL of the platform's object API, http://ADDRESS:PORT (default: $ANVILWALK_PLATFORM)",
+            cxxopts::value<std::string>()->default_value(environment("ANVILWALK_PLATFORM")));
+    if (name == "publish") {
+        add("dry-run", "show what would change and write nothing");
+        add("wait", "wait until the version is in force on every balancer");
+        add("json", "print the result as JSON");
+        add("operator", "name that the publish is recorded under (default: $USER)",
+            cxxopts::value<std::string>()->default_value(environment("USER")));
+        add("timeout", "time after which the command gives up, for example 30s",
+            cxxopts::value<std::string>()->default_value("30s"));
+    }
+    if (name == "report")
+        add("over",
+            "count new flows, refused, dropped and relayed packets over this time, for example 10s, instead "
+            "of since the start of the balancers",
+            cxxopts::value<std::string>()->default_value("0s"));
+    return options;
+}
+
+// A duration option; prints a message and returns nothing if it is not valid.
+std::optional<std::chrono::milliseconds> readDuration(const cxxopts::ParseResult& result, const std::string& name)
+{
+    const auto text = result[name].as<std::string>();
+    const auto duration = parseDuration(text);
+    if (!duration || *duration > std::chrono::hours(24)) {
+        std::cerr << "--" << name << " " << text << " is not a duration of at most 24h; write for example 30s.\n";
+        return std::nullopt;
+    }
+    return duration;
+}
+
+std::optional<CommandOptions> readOptions(
+    const std::string& name, const CommandEntry& entry, const cxxopts::ParseResult& result)
+{
+    CommandOptions options;
+    if (entry.takesPaths) {
+        if (result.count("paths") == 0) {
+            std::cerr << "Name at least one service file or folder: anvilwalk " << name << " DIR...\n";
+            return std::nullopt;
+        }
+        options.paths = result["paths"].as<std::vector<std::string>>();
+    }
+    if (entry.takesPlatform) {
+        options.platformUrl = result["platform"].as<std::string>();
+        if (options.platformUrl.empty()) {
+            std::cerr << "Name the platform with --platform http://ADDRESS:PORT or set ANVILWALK_PLATFORM.\n";
+            return std::nullopt;
+        }
+    }
+    if (name == "publish") {
+        options.dryRun = result.count("dry-run") > 0;
+        options.wait = result.count("wait") > 0;
+        options.json = result.count("json") > 0;
+        options.operatorName = result["operator"].as<std::string>();
+        const auto timeout = readDuration(result, "timeout");
+        if (!timeout)
+            return std::nullopt;
+        options.timeout = *timeout;
+        if (options.operatorName.empty()) {
+            std::cerr << "Name yourself with --operator NAME, so that others see who published.\n";
+            return std::nullopt;
+        }
+    }
+    if (name == "report") {
+        const auto over = readDuration(result, "over");
+        if (!over)
+            return std::nullopt;
+        options.over = *over;
+    }
+    return options;
+}
+
+ExitCode runCommand(const std::string& name, const CommandEntry& entry, int argc, char** argv)
+{
+    cxxopts::Options options = makeOptions(name, entry);
+    const cxxopts::ParseResult result = options.parse(argc, argv);
+    if (result.count("help") > 0) {
+        std::cout << options.help();
+        return ExitCode::Success;
+    }
+    if (!result.unmatched().empty()) {
+        std::cerr << "Unexpected argument " << result.unmatched().front() << ".\n";
+        return ExitCode::Usage;
+    }
+    const auto commandOptions = readOptions(name, entry, result);
+    return commandOptions ? entry.run(*commandOptions) : ExitCode::Usage;
+}
+
+} // namespace
+
+int main(int argc, char* argv[])
+{
+    const std::string name = argc > 1 ? argv[1] : "";
+    if (name == "--help" || name == "help") {
+        std::cout << overview;
+        return toInt(ExitCode::Success);
+    }
+    if (name == "--version") {
+        std::cout << "anvilwalk " << ANVILWALK_VERSION << "\n";
+        return toInt(ExitCode::Success);
+    }
+    const auto found = commands().find(name);
+    if (found == commands().end()) {
+        std::cerr << (name.empty() ? std::string() : "There is no command " + name + ".\n\n") << overview;
+        return toInt(ExitCode::Usage);
+    }
+    try {
+        return toInt(runCommand(name, found->second, argc - 1, argv + 1));
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << error.what() << "\nRun anvilwalk " << name << " --help for the options.\n";
+        return toInt(ExitCode::Usage);
+    }
+}
--- a/packages/process/include/anvilwalk/process/Publisher.h
+++ b/packages/process/include/anvilwalk/process/Publisher.h
@@ -52,7 +52,7 @@
 struct PublisherOptions {
     // No call is started later than this after the start. The last one may take its own deadline in addition.
     std::chrono::milliseconds deadline { 20'000 };
-    RetryPolicyOptions retry;
+    RetryPolicyOptions retry = {};
     std::uint64_t seed = 0;
     bool dryRun = false;
     // One sentence for each step.
--- a/packages/process/include/anvilwalk/process/ReportFigures.h
+++ b/packages/process/include/anvilwalk/process/ReportFigures.h
@@ -56,7 +56,9 @@
     std::size_t balancers = 0;
     // Balancers whose configuration is the version of the report or newer.
     std::size_t upToDate = 0;
-    std::vector<std::string> missing = {};
+    std::vector<BalancerId> missingBalancers = {};
+    // Targets whose load endpoint does not answer.
+    std::vector<std::string> targetsWithoutLoad = {};
 };
 
 // All figures of a report, without any layout. Rows are sorted by data centre and service.
@@ -65,10 +67,12 @@
     ConfigVersion configVersion;
     std::vector<ReportRow> rows;
     std::vector<ReportPart> parts;
+    // Balancers in the VM list that no status names; the list does not tell which status should.
+    std::vector<BalancerId> unseenBalancers;
 
     // Whether every data centre has a recent status and nothing is missing in it.
     bool complete() const;
-    // Whether the version of the report is in force on every balancer.
+    // Whether recent statuses of all data centres show the version of the report in force on every balancer.
     bool inForceEverywhere() const;
 };
 
--- a/packages/process/src/ReportFigures.cpp
+++ b/packages/process/src/ReportFigures.cpp
@@ -63,28 +63,24 @@
 
     ReportPart describePart(const ReportInput& input, const DataCentreId& dataCentre, const DataCentreStatus* status)
     {
-        ReportPart part { .dataCentre = dataCentre, .ageMs = {}, .missing = {} };
-        if (status == nullptr) {
-            part.missing.emplace_back("status");
+        ReportPart part { .dataCentre = dataCentre, .ageMs = {} };
+        if (status == nullptr)
             return part;
-        }
         part.ageMs = std::max<std::int64_t>(0, input.nowUnixMs - status->writtenAtUnixMs);
         part.balancers = status->balancers.size();
         for (const BalancerVersions& balancer : status->balancers)
             part.upToDate += balancer.configVersion >= input.configVersion ? 1 : 0;
-        for (const BalancerId& id : status->missingBalancers)
-            part.missing.push_back("balancer " + id.value());
+        part.missingBalancers = status->missingBalancers;
         for (const ServiceSummary& service : status->services) {
             for (const TargetStatus& target : service.targets) {
                 if (!target.openConnections)
-                    part.missing.push_back("load of " + target.host);
+                    part.targetsWithoutLoad.push_back(target.host);
             }
         }
         return part;
     }
 
-    // Balancers in the VM list that no status names; the list does not tell which status should.
-    std::vector<std::string> findUnseenBalancers(const ReportInput& input)
+    std::vector<BalancerId> findUnseenBalancers(const ReportInput& input)
     {
         std::set<BalancerId> unseen = input.listedBalancers;
         for (const DataCentreStatus& status : input.statuses) {
@@ -93,12 +89,11 @@
             for (const BalancerId& id : status.missingBalancers)
                 unseen.erase(id);
         }
-        std::vector<std::string> names;
-        for (const BalancerId& id : unseen)
-            names.push_back("balancer " + id.value());
-        return names;
+        return { unseen.begin(), unseen.end() };
     }
 
+    bool isRecent(const ReportPart& part) { return part.ageMs && *part.ageMs <= oldStatusMs; }
+
     std::vector<ServiceName> servicesOf(const ReportInput& input, const DataCentreStatus* status)
     {
         std::set<ServiceName> names(input.services.begin(), input.services.end());
@@ -128,22 +123,27 @@
 
 bool ReportFigures::complete() const
 {
-    return std::all_of(parts.begin(), parts.end(),
-        [](const ReportPart& part) { return part.missing.empty() && part.ageMs && *part.ageMs <= oldStatusMs; });
+    return unseenBalancers.empty() && std::all_of(parts.begin(), parts.end(), [](const ReportPart& part) {
+        return isRecent(part) && part.missingBalancers.empty() && part.targetsWithoutLoad.empty();
+    });
 }
 
 bool ReportFigures::inForceEverywhere() const
 {
-    return !parts.empty() && std::all_of(parts.begin(), parts.end(), [](const ReportPart& part) {
-        return part.ageMs && part.balancers > 0 && part.upToDate == part.balancers;
-    });
+    return !parts.empty() && unseenBalancers.empty()
+        && std::all_of(parts.begin(), parts.end(), [](const ReportPart& part) {
+               return isRecent(part) && part.missingBalancers.empty() && part.balancers > 0
+                   && part.upToDate == part.balancers;
+           });
 }
 
 ReportFigures computeReport(const ReportInput& input)
 {
-    ReportFigures figures {
-        .nowUnixMs = input.nowUnixMs, .configVersion = input.configVersion, .rows = {}, .parts = {}
-    };
+    ReportFigures figures { .nowUnixMs = input.nowUnixMs,
+        .configVersion = input.configVersion,
+        .rows = {},
+        .parts = {},
+        .unseenBalancers = {} };
     std::set<DataCentreId> dataCentres = input.dataCentres;
     for (const DataCentreStatus& status : input.statuses)
         dataCentres.insert(status.dataCentre);
@@ -154,8 +154,7 @@
             figures.rows.push_back(
                 { .dataCentre = dataCentre, .service = name, .counts = countsOf(input, status, name) });
     }
-    if (auto unseen = findUnseenBalancers(input); !unseen.empty())
-        figures.parts.push_back({ .dataCentre = DataCentreId("VM list"), .ageMs = 0, .missing = std::move(unseen) });
+    figures.unseenBalancers = findUnseenBalancers(input);
     return figures;
 }
 
--- a/packages/process/src/ReportLayout.cpp
+++ b/packages/process/src/ReportLayout.cpp
@@ -80,21 +80,27 @@
         return text.str();
     }
 
+    // "name a, name b"
+    void appendNames(std::string& text, const std::string& kind, const std::string& name)
+    {
+        text += (text.empty() ? "" : ", ") + kind + " " + name;
+    }
+
     std::string partLine(const ReportPart& part)
     {
         std::string line = part.dataCentre.value() + ": ";
         if (!part.ageMs)
             return line + "no status\n";
-        std::string missing;
-        for (const std::string& name : part.missing)
-            missing += (missing.empty() ? "" : ", ") + name;
-        if (part.balancers == 0 && !missing.empty())
-            return line + "missing " + missing + "\n";
         line += "status " + std::to_string(*part.ageMs / 1000) + " s old";
         if (*part.ageMs > oldStatusMs)
             line += " (OLD)";
         line += "; configuration in force on " + std::to_string(part.upToDate) + " of " + std::to_string(part.balancers)
             + " balancers";
+        std::string missing;
+        for (const BalancerId& id : part.missingBalancers)
+            appendNames(missing, "balancer", id.value());
+        for (const std::string& host : part.targetsWithoutLoad)
+            appendNames(missing, "load of", host);
         return line + (missing.empty() ? "" : "; missing " + missing) + "\n";
     }
 
@@ -105,6 +111,11 @@
     std::string text;
     for (const ReportPart& part : figures.parts)
         text += partLine(part);
+    std::string unseen;
+    for (const BalancerId& id : figures.unseenBalancers)
+        appendNames(unseen, "balancer", id.value());
+    if (!unseen.empty())
+        text += "VM list: missing " + unseen + "\n";
     return text.empty() ? "No data centre has a status and the VM list names none.\n" : text;
 }
 
