--- a/tests/standins/cell.sh
+++ b/tests/standins/cell.sh
@@ -159,8 +159,8 @@
         '{role:"entry",dataCentre:$dc,state:"live",balancer:$id,packetAddress:$packet,controlAddress:$control,readyUrl:$ready}')"
 }
 
-# publish CELL DIRECTORY: publishes the service files of a directory.
-publish() { "$bin_dir/anvilwalk" publish --platform "$(platform_url "$1")" "$2"; }
+# publish CELL DIRECTORY [OPERATOR]: publishes the service files of a directory.
+publish() { "$bin_dir/anvilwalk" publish --platform "$(platform_url "$1")" --operator "${3:-demo}" "$2"; }
 
 # Parts of a service file.
 text_in() { sed -n "s/^$2 *= *\"\([^\"]*\)\".*/\1/p" "$1"; }
--- a/tests/standins/process-test.sh
+++ b/tests/standins/process-test.sh
@@ -180,7 +180,7 @@
         write_service_file "$run_dir/operator-$number" "20${number}s"
         (
             status=0
-            publish "$cell" "$run_dir/operator-$number" >"$run_dir/operator-$number.log" 2>&1 || status=$?
+            publish "$cell" "$run_dir/operator-$number" "operator-$number" >"$run_dir/operator-$number.log" 2>&1 || status=$?
             echo "$status" >"$run_dir/operator-$number.status"
         ) &
     done
@@ -192,7 +192,9 @@
         if [ "$status" = 0 ]; then
             winners=$((winners + 1))
         else
+            [ "$status" = 3 ] || fail "the loser ends with $status: $(cat "$run_dir/operator-$number.log")"
             grep -q "$service" "$run_dir/operator-$number.log" || fail "the loser is not told the service"
+            grep -q "operator-$((3 - number))" "$run_dir/operator-$number.log" || fail "the loser is not told the winner"
         fi
     done
     index=$(config_of | jq -c .spec)
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -76,6 +76,10 @@
     done | jq -s '[.[].openFlows] | if add > 0 then (max / (add / length) * 1000 | round / 1000) else null end'
 }
 
+write_report() {
+    "$bin_dir/anvilwalk" report --platform "$(platform_url "$1")" >"$run_dir/$1-report.txt" 2>"$run_dir/$1-report.log"
+}
+
 openings_after_drain() {
     get_json "$(target_url "$1" "$drained_host")/ledger" | jq '.openingsAfterDrainMs | length'
 }
@@ -115,6 +119,7 @@
 for cell in "${cells[@]}"; do start_balancer "$cell" 4; done
 for cell in "${cells[@]}"; do
     await "$cell balancer-4 is ready" 30 fabric_uses "$cell" 4
+    vm_mark_leaving "$cell" balancer-1
     send_signal "$cell-balancer-1" TERM
 done
 for cell in "${cells[@]}"; do
@@ -146,7 +151,9 @@
     done
 done
 for cell in "${cells[@]}"; do
-    "$bin_dir/anvilwalk" report --platform "$(platform_url "$cell")" || fail "report for $cell"
+    # The statuses are written every 5 s; until then the killed balancer is missing in the report.
+    await "$cell has a complete report" 30 write_report "$cell"
+    cat "$run_dir/$cell-report.txt"
 done
 late=0
 for cell in "${cells[@]}"; do
