--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -64,7 +64,7 @@
     start_caller "$cell" 1 "$(service_name "$(stream_file "$cell")")" "$(service_address "$(stream_file "$cell")")" \
         --kind "$(request_kind "$cell")" --streams "$streams" --flows-per-second 40 --deadline-ms 10000
     start_caller "$cell" 2 "$(service_name "$(upload_file "$cell")")" "$(service_address "$(upload_file "$cell")")" \
-        --kind photo --flows-per-second 10 --deadline-ms 10000
+        --kind photo --flows-per-second 10 --requests-per-flow 10 --deadline-ms 10000
 }
 
 # Open flows of the targets of a service, except the drained one.
@@ -137,7 +137,7 @@
     vm_remove "$cell" balancer-2
     # About 5 s of traffic, more than the 1.8 s after which the dead balancer is replaced.
     await_answers "$cell" 1 400 40
-    await_answers "$cell" 2 100 40
+    await_answers "$cell" 2 400 40
 done
 
 say "Phase 6: reports and verdict."
