--- a/apps/anvilwalkd/ControlLoop.cpp
+++ b/apps/anvilwalkd/ControlLoop.cpp
@@ -155,6 +155,12 @@
     withController([&](CellController& controller, MonotonicTime now) { controller.handleTargetReport(report, now); });
 }
 
+void ControlLoop::handleTargetObservation(const TargetObservation& observation)
+{
+    withController(
+        [&](CellController& controller, MonotonicTime now) { controller.handleTargetObservation(observation, now); });
+}
+
 void ControlLoop::handleStoreReachable(bool reachable)
 {
     withController(
@@ -223,6 +229,7 @@
         known[id] = heard.controlEndpoint;
     known.erase(m_options.controller.self);
     std::vector<KnownBalancer> result;
+    result.reserve(known.size());
     for (const auto& [id, endpoint] : known)
         result.push_back({ .id = id, .controlEndpoint = endpoint });
     return result;
--- a/packages/process/src/ReportFigures.cpp
+++ b/packages/process/src/ReportFigures.cpp
@@ -26,7 +26,7 @@
         return sum > 0 ? highest * static_cast<double>(count) / sum : 1.0;
     }
 
-    ReportCounts countService(const ServiceTotals& service)
+    ReportCounts countService(const ServiceSummary& service)
     {
         ReportCounts counts { .openFlows = service.openFlows,
             .newFlows = service.openings,
@@ -53,7 +53,7 @@
     // A counter that went back belongs to a balancer that was restarted in the interval.
     void subtract(std::uint64_t& now, std::uint64_t before) { now = now >= before ? now - before : now; }
 
-    void subtract(ReportCounts& now, const ServiceTotals& before)
+    void subtract(ReportCounts& now, const ServiceSummary& before)
     {
         subtract(now.newFlows, before.openings);
         subtract(now.refused, before.refused);
@@ -63,28 +63,24 @@
 
     ReportPart describePart(const ReportInput& input, const DataCentreId& dataCentre, const DataCentreStatus* status)
     {
-        ReportPart part { .dataCentre = dataCentre, .ageMs = {}, .missing = {} };
-        if (status == nullptr) {
-            part.missing.emplace_back("status");
+        ReportPart part { .dataCentre = dataCentre, .ageMs = {} };
+        if (status == nullptr)
             return part;
-        }
         part.ageMs = std::max<std::int64_t>(0, input.nowUnixMs - status->writtenAtUnixMs);
         part.balancers = status->balancers.size();
         for (const BalancerVersions& balancer : status->balancers)
             part.upToDate += balancer.configVersion >= input.configVersion ? 1 : 0;
-        for (const BalancerId& id : status->missingBalancers)
-            part.missing.push_back("balancer " + id.value());
-        for (const ServiceTotals& service : status->services) {
+        part.missingBalancers = status->missingBalancers;
+        for (const ServiceSummary& service : status->services) {
             for (const TargetStatus& target : service.targets) {
                 if (!target.openConnections)
-                    part.missing.push_back("load of " + target.host);
+                    part.targetsWithoutLoad.push_back(target.host);
             }
         }
         return part;
     }
 
-    // Balancers in the VM list that no status names; the list does not tell which status should.
-    std::vector<std::string> findUnseenBalancers(const ReportInput& input)
+    std::vector<BalancerId> findUnseenBalancers(const ReportInput& input)
     {
         std::set<BalancerId> unseen = input.listedBalancers;
         for (const DataCentreStatus& status : input.statuses) {
@@ -93,17 +89,16 @@
             for (const BalancerId& id : status.missingBalancers)
                 unseen.erase(id);
         }
-        std::vector<std::string> names;
-        for (const BalancerId& id : unseen)
-            names.push_back("balancer " + id.value());
-        return names;
+        return { unseen.begin(), unseen.end() };
     }
 
+    bool isRecent(const ReportPart& part) { return part.ageMs && *part.ageMs <= oldStatusMs; }
+
     std::vector<ServiceName> servicesOf(const ReportInput& input, const DataCentreStatus* status)
     {
         std::set<ServiceName> names(input.services.begin(), input.services.end());
         if (status != nullptr) {
-            for (const ServiceTotals& service : status->services)
+            for (const ServiceSummary& service : status->services)
                 names.insert(service.name);
         }
         return { names.begin(), names.end() };
@@ -112,13 +107,13 @@
     std::optional<ReportCounts> countsOf(
         const ReportInput& input, const DataCentreStatus* status, const ServiceName& name)
     {
-        const ServiceTotals* service
-            = status == nullptr ? nullptr : findBy(status->services, name, &ServiceTotals::name);
+        const ServiceSummary* service
+            = status == nullptr ? nullptr : findBy(status->services, name, &ServiceSummary::name);
         if (service == nullptr)
             return std::nullopt;
         ReportCounts counts = countService(*service);
         const auto* earlier = findBy(input.earlierStatuses, status->dataCentre, &DataCentreStatus::dataCentre);
-        const auto* before = earlier == nullptr ? nullptr : findBy(earlier->services, name, &ServiceTotals::name);
+        const auto* before = earlier == nullptr ? nullptr : findBy(earlier->services, name, &ServiceSummary::name);
         if (before != nullptr)
             subtract(counts, *before);
         return counts;
@@ -128,22 +123,27 @@
 
 bool ReportFigures::complete() const
 {
-    return std::all_of(parts.begin(), parts.end(),
-        [](const ReportPart& part) { return part.missing.empty() && part.ageMs && *part.ageMs <= oldStatusMs; });
+    return unseenBalancers.empty() && std::all_of(parts.begin(), parts.end(), [](const ReportPart& part) {
+        return isRecent(part) && part.missingBalancers.empty() && part.targetsWithoutLoad.empty();
+    });
 }
 
 bool ReportFigures::inForceEverywhere() const
 {
-    return !parts.empty() && std::all_of(parts.begin(), parts.end(), [](const ReportPart& part) {
-        return part.ageMs && part.balancers > 0 && part.upToDate == part.balancers;
-    });
+    return !parts.empty() && unseenBalancers.empty()
+        && std::all_of(parts.begin(), parts.end(), [](const ReportPart& part) {
+               return isRecent(part) && part.missingBalancers.empty() && part.balancers > 0
+                   && part.upToDate == part.balancers;
+           });
 }
 
 ReportFigures computeReport(const ReportInput& input)
 {
-    ReportFigures figures {
-        .nowUnixMs = input.nowUnixMs, .configVersion = input.configVersion, .rows = {}, .parts = {}
-    };
+    ReportFigures figures { .nowUnixMs = input.nowUnixMs,
+        .configVersion = input.configVersion,
+        .rows = {},
+        .parts = {},
+        .unseenBalancers = {} };
     std::set<DataCentreId> dataCentres = input.dataCentres;
     for (const DataCentreStatus& status : input.statuses)
         dataCentres.insert(status.dataCentre);
@@ -154,8 +154,7 @@
             figures.rows.push_back(
                 { .dataCentre = dataCentre, .service = name, .counts = countsOf(input, status, name) });
     }
-    if (auto unseen = findUnseenBalancers(input); !unseen.empty())
-        figures.parts.push_back({ .dataCentre = DataCentreId("VM list"), .ageMs = 0, .missing = std::move(unseen) });
+    figures.unseenBalancers = findUnseenBalancers(input);
     return figures;
 }
 
