--- a/packages/version/include/anvilwalk/version.h
+++ b/packages/version/include/anvilwalk/version.h
@@ -5,6 +5,8 @@
 #include <anvilwalk/version/ConfigCodec.h>
 #include <anvilwalk/version/ConfigSnapshot.h>
 #include <anvilwalk/version/DoubtFallback.h>
+#include <anvilwalk/version/PublishPlan.h>
 #include <anvilwalk/version/ServiceConfig.h>
+#include <anvilwalk/version/ServiceFile.h>
 #include <anvilwalk/version/TablePlanner.h>
 #include <anvilwalk/version/TableSnapshot.h>
