bench: plan the comparison's tables with TablePlanner; router: use the shared doubt fallback

The planner of the product has landed, so that the bench's own one is gone. The result also counts dropped packets by reason and the imbalance of request flows alone, because streams keep their target after a scale-up.

--- a/bench/compare/Simulation.cpp
+++ b/bench/compare/Simulation.cpp
@@ -14,7 +14,9 @@
     constexpr std::uint16_t firstRelayPort = 7000;
     constexpr std::uint32_t viewDelayMs = 600;
     constexpr std::uint32_t tableDelayMs = 1000;
-    constexpr std::uint32_t announceHoldMs = 1200;
+    constexpr std::uint32_t planIntervalMs = 50;
+    constexpr std::uint32_t weightStepMs = 5000;
+    constexpr std::uint32_t firstTunnelAddress = 0xac100000;
     constexpr std::uint32_t leavingBoundMs = 3000;
     constexpr std::uint32_t streamIntervalMs = 5000;
     constexpr std::uint32_t openRetryMs = 1000;
@@ -47,9 +49,9 @@
         return std::make_shared<const ConfigSnapshot>(ConfigVersion(1), std::move(services));
     }
 
-    TargetId targetOf(ServiceId service, std::size_t host)
+    std::string hostName(ServiceId service, std::size_t host)
     {
-        return TargetId(static_cast<std::uint32_t>(service.value() * 100 + host + 1));
+        return "host-" + std::to_string(service.value()) + "-" + std::to_string(host);
     }
 
     bool fallsInto(const RoutingState& state, const std::function<bool(const SlotException&)>& condition,
@@ -74,7 +76,7 @@
     : m_options(options)
     , m_random(options.seed)
     , m_config(makeConfig())
-    , m_mover(options.slotsPerStep)
+    , m_planner(TablePlannerOptions {})
     , m_wheel(wheelMs)
     , m_recordBytesBySecond(options.durationMs / 1000 + 1)
 {
@@ -86,12 +88,11 @@
         service.flowsPerMs = flowsPerMs * flowShares[i];
         const double shortFlows = static_cast<double>(service.hosts * options.openFlowsPerHost) / 2;
         service.shortLifeMs = static_cast<std::uint32_t>(shortFlows / service.flowsPerMs);
-        std::vector<TargetId> targets;
         for (std::size_t host = 0; host < service.hosts; ++host)
-            targets.push_back(targetOf(service.id, host));
-        m_table.addService(service.id, targets);
+            service.targets.push_back(makeTarget(service, host));
     }
-    m_written = m_table.build();
+    m_written = valueOf(TableSnapshot::fromMessage(planTable().value()));
+    m_writtenAtMs[m_written->version()] = 0;
     for (std::size_t i = 0; i < options.balancers; ++i)
         addNode(true);
     std::vector<RoutingMember> members;
@@ -158,7 +159,7 @@
     }
     for (m_nowMs = 0; m_nowMs < m_options.durationMs; ++m_nowMs) {
         if (m_nowMs == m_options.changeAtMs) {
-            m_result.imbalanceBefore = imbalance();
+            m_result.imbalanceBefore = imbalance(&Service::openFlows);
             startChange();
         }
         std::vector<Deferred> due;
@@ -182,7 +183,7 @@
             if (node.alive)
                 handle(relayed.event, node.router->routeRelayed(relayed.header, packet, now()));
             else
-                handleDrop(relayed.event);
+                handleDrop(relayed.event, "dead_balancer");
         }
         for (const Event& event : std::exchange(m_wheel[m_nowMs % wheelMs], {}))
             send(event);
@@ -194,7 +195,8 @@
                 node->flows->expire(now(), [](ServiceId) { return idleDeadline; });
         }
     }
-    m_result.imbalanceAfter = imbalance();
+    m_result.imbalanceAfter = imbalance(&Service::openFlows);
+    m_result.requestImbalanceAfter = imbalance(&Service::openRequests);
     std::uint64_t bytes = 0;
     for (const auto& [kind, count] : m_result.controlBytes)
         bytes += count;
@@ -276,7 +278,8 @@
     }
     if (const auto* forward = std::get_if<ForwardToTarget>(&decision))
         return handleDelivery(event, forward->target);
-    handleDrop(event);
+    const auto* drop = std::get_if<DropPacket>(&decision);
+    handleDrop(event, drop ? std::string(toString(drop->reason)) : "refused");
 }
 
 void Simulation::handleDelivery(const Event& event, TargetId target)
@@ -290,6 +293,8 @@
         flow.opened = true;
         flow.target = target;
         ++service.openFlows[target];
+        if (!flow.stream)
+            ++service.openRequests[target];
         const auto leaving = service.leavingSince.find(target);
         if (leaving != service.leavingSince.end()) {
             const std::uint32_t after = m_nowMs - leaving->second;
@@ -324,9 +329,9 @@
     schedule({ event.flow, Step::Close }, shortLifeMs / 2);
 }
 
-void Simulation::handleDrop(const Event& event)
+void Simulation::handleDrop(const Event& event, const std::string& reason)
 {
-    ++m_result.droppedPackets;
+    ++m_result.droppedPackets[reason];
     Flow& flow = m_flows[event.flow];
     if (!flow.live)
         return;
@@ -350,8 +355,11 @@
     if (!flow.live)
         return;
     flow.live = false;
+    Service& service = m_services[flow.service.value() - 1];
     if (flow.opened)
-        --m_services[flow.service.value() - 1].openFlows[flow.target];
+        --service.openFlows[flow.target];
+    if (flow.opened && !flow.stream)
+        --service.openRequests[flow.target];
     m_freeFlows.push_back(index);
 }
 
@@ -360,32 +368,72 @@
 void Simulation::startChange()
 {
     const Scenario scenario = m_options.scenario;
-    m_changing = scenario != Scenario::NoChange;
     for (Service& service : m_services) {
-        const std::size_t drained = scenario == Scenario::DrainTwo                     ? 2
-            : scenario == Scenario::DrainOne || scenario == Scenario::ReplaceBalancers ? 1
-                                                                                       : 0;
+        const bool drainsOne = scenario == Scenario::DrainOne || scenario == Scenario::ReplaceBalancers;
+        const std::size_t drained = scenario == Scenario::DrainTwo ? 2 : drainsOne ? 1 : 0;
         for (std::size_t host = 0; host < drained; ++host) {
-            const TargetId target = targetOf(service.id, host);
-            m_table.setLeaving(service.id, target);
-            service.leavingSince[target] = m_nowMs;
+            service.targets[host].leaving = true;
+            service.leavingSince[idOf(service, service.targets[host].host)] = m_nowMs;
         }
         if (scenario == Scenario::ScaleUp) {
             for (std::size_t host = service.hosts; host < service.hosts * 3 / 2; ++host)
-                m_table.addTarget(service.id, targetOf(service.id, host));
+                service.targets.push_back(makeTarget(service, host));
         }
         if (scenario == Scenario::WeightChange)
-            m_table.setWeight(service.id, targetOf(service.id, 0), 500);
+            service.targets[0].weight = 500;
     }
     if (scenario == Scenario::ReplaceBalancers)
         later(1000, [this] { replaceNext(0); });
 }
 
-void Simulation::writeTable()
+KnownTarget Simulation::makeTarget(const Service& service, std::size_t host) const
+{
+    KnownTarget target;
+    target.service = service.id;
+    target.host = hostName(service.id, host);
+    target.tunnel = { .address = { firstTunnelAddress + service.id.value() * 256 + static_cast<std::uint32_t>(host) },
+        .port = 5555 };
+    return target;
+}
+
+TargetId Simulation::idOf(const Service& service, const std::string& host) const
+{
+    for (const auto& [id, target] : m_written->findService(service.id)->targets) {
+        if (target.host == host)
+            return id;
+    }
+    return {};
+}
+
+Duration Simulation::sinceAnnounced(ServiceId service, SlotIndex slot) const
+{
+    const SlotException* exception = m_written->findService(service)->findException(slot);
+    const auto written = exception ? m_writtenAtMs.find(exception->announcedIn) : m_writtenAtMs.end();
+    return std::chrono::milliseconds(written == m_writtenAtMs.end() ? 0 : m_nowMs - written->second);
+}
+
+std::optional<table::TableSet> Simulation::planTable() const
 {
-    m_written = m_table.build();
-    m_writtenAtMs = m_nowMs;
-    const std::uint64_t bytes = m_written->message().ByteSizeLong();
+    PlannerInput input;
+    input.dataCentre = DataCentreId("lima-a");
+    input.writer = BalancerId("lima-a-1");
+    input.config = m_config;
+    for (const Service& service : m_services)
+        input.targets.insert(input.targets.end(), service.targets.begin(), service.targets.end());
+    input.echoedByAll = echoedByAll();
+    input.sinceAnnounced = [this](ServiceId service, SlotIndex slot) { return sinceAnnounced(service, slot); };
+    input.sinceMoving = input.sinceAnnounced;
+    // The streams last longer than a run, so that no moved slot becomes stable.
+    input.clearOfOlderRecords = [](ServiceId, SlotIndex) { return false; };
+    input.mayStepWeights = m_nowMs - m_weightsSteppedAtMs >= weightStepMs;
+    return m_planner.plan(m_written, input);
+}
+
+void Simulation::writeTable(const table::TableSet& message)
+{
+    m_written = valueOf(TableSnapshot::fromMessage(message));
+    m_writtenAtMs[m_written->version()] = m_nowMs;
+    const std::uint64_t bytes = message.ByteSizeLong();
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         if (!m_nodes[i]->alive)
             continue;
@@ -421,36 +469,34 @@
     pushRecords(index, FlowRecordCodec::recentOpenings(*node.flows, isNew, now()));
 }
 
-bool Simulation::allEchoed(TableVersion version) const
+TableVersion Simulation::echoedByAll() const
 {
-    return std::all_of(m_nodes.begin(), m_nodes.end(),
-        [&](const auto& node) { return !node->alive || node->state.table->version() >= version; });
+    TableVersion lowest(m_nodes.empty() ? 0 : ~std::uint64_t { 0 });
+    for (const auto& node : m_nodes) {
+        if (node->alive)
+            lowest = std::min(lowest, node->state.table->version());
+    }
+    return lowest;
 }
 
-// Writes the next table version when all balancers have the last one.
 void Simulation::advanceTable()
 {
-    if (!m_changing || !allEchoed(m_written->version()))
+    if (m_nowMs % planIntervalMs != 0 || m_nowMs < m_options.changeAtMs)
         return;
-    if (m_options.design != Design::SlotTables) {
-        m_changing = false;
-        return writeTable();
-    }
-    if (m_announced) {
-        if (m_nowMs - m_writtenAtMs < announceHoldMs)
-            return;
-        for (const Service& service : m_services)
-            SlotMover::startMoving(m_table, service.id);
-        m_announced = false;
-        return writeTable();
-    }
-    std::size_t announced = 0;
-    for (const Service& service : m_services)
-        announced += m_mover.announceNext(m_table, service.id);
-    m_announced = announced > 0;
-    m_changing = announced > 0;
-    if (m_announced)
-        writeTable();
+    const auto next = planTable();
+    if (!next)
+        return;
+    const auto weightsOf = [](const table::TableSet& set) {
+        std::vector<std::uint32_t> weights;
+        for (const table::ServiceTable& service : set.services()) {
+            for (const table::TargetEntry& target : service.targets())
+                weights.push_back(target.weight());
+        }
+        return weights;
+    };
+    if (weightsOf(*next) != weightsOf(m_written->message()))
+        m_weightsSteppedAtMs = m_nowMs;
+    writeTable(*next);
 }
 
 void Simulation::pushRecords(std::size_t from, std::vector<peer::FlowRecordEntry> entries)
@@ -611,7 +657,7 @@
     });
 }
 
-std::map<std::size_t, double> Simulation::imbalance() const
+std::map<std::size_t, double> Simulation::imbalance(OpenFlows openFlows) const
 {
     std::map<std::size_t, double> result;
     for (const Service& service : m_services) {
@@ -621,8 +667,9 @@
         for (const auto& [id, target] : m_written->findService(service.id)->targets) {
             if (target.leaving)
                 continue;
-            const auto open = service.openFlows.find(id);
-            const double load = open == service.openFlows.end() ? 0 : static_cast<double>(open->second) / target.weight;
+            const auto open = (service.*openFlows).find(id);
+            const double load
+                = open == (service.*openFlows).end() ? 0 : static_cast<double>(open->second) / target.weight;
             highest = std::max(highest, load);
             sum += load;
             ++count;
--- a/bench/compare/Simulation.h
+++ b/bench/compare/Simulation.h
@@ -1,15 +1,13 @@
 #pragma once
 
-#include "SlotMover.h"
-
 #include "baselines/ReplicatedRecordRouter.h"
 
 #include <anvilwalk/process.h>
 #include <array>
-#include <fakes/TableBuilder.h>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <pcg_random.hpp>
 #include <string>
 #include <vector>
@@ -42,7 +40,6 @@
     std::uint32_t openFlowsPerHost = 2000;
     std::uint32_t durationMs = 60'000;
     std::uint32_t changeAtMs = 5000;
-    std::size_t slotsPerStep = 16;
 };
 
 struct SimulationResult {
@@ -50,8 +47,8 @@
     std::uint64_t packets = 0;
     // Broken flows by cause.
     std::map<std::string, std::uint64_t> broken;
-    // Packets that a balancer dropped; the client sent them again.
-    std::uint64_t droppedPackets = 0;
+    // Packets that a balancer dropped, by reason; the client sent them again.
+    std::map<std::string, std::uint64_t> droppedPackets;
     std::uint64_t relays = 0;
     std::uint64_t maxRelaysOfPacket = 0;
     // First opening packets at a leaving target later than 3 s after it was marked.
@@ -61,6 +58,8 @@
     // By host count of the service: before the change and at the end.
     std::map<std::size_t, double> imbalanceBefore;
     std::map<std::size_t, double> imbalanceAfter;
+    // The same for request flows only, which all opened after the change.
+    std::map<std::size_t, double> requestImbalanceAfter;
     // Control bytes of all balancers by kind: records, tables, heartbeats.
     std::map<std::string, std::uint64_t> controlBytes;
     // Bytes a second per balancer over the run.
@@ -122,7 +121,9 @@
         double flowsPerMs = 0;
         double due = 0;
         std::map<TargetId, std::int64_t> openFlows;
+        std::map<TargetId, std::int64_t> openRequests;
         std::map<TargetId, std::uint32_t> leavingSince;
+        std::vector<KnownTarget> targets;
     };
     // Something that happens to the control state at a time.
     struct Deferred {
@@ -142,16 +143,20 @@
     void send(const Event&);
     void handle(const Event&, const Decision&);
     void handleDelivery(const Event&, TargetId);
-    void handleDrop(const Event&);
+    void handleDrop(const Event&, const std::string& reason);
     void breakFlow(std::uint32_t flow, const std::string& cause);
     void endFlow(std::uint32_t flow);
     void scheduleNext(const Event&, Flow&);
     std::vector<std::uint8_t> packetFor(const Event&) const;
 
     void startChange();
-    void writeTable();
+    KnownTarget makeTarget(const Service&, std::size_t host) const;
+    TargetId idOf(const Service&, const std::string& host) const;
+    std::optional<table::TableSet> planTable() const;
+    void writeTable(const table::TableSet&);
+    Duration sinceAnnounced(ServiceId, SlotIndex) const;
     void adoptTable(std::size_t node, const TableSnapshotPointer&);
-    bool allEchoed(TableVersion) const;
+    TableVersion echoedByAll() const;
     void advanceTable();
     void replaceNext(std::size_t leaving);
     void join(std::function<void()> done);
@@ -161,19 +166,19 @@
     void replicateRecords();
     void countHeartbeats();
     void countRecordBytes(std::uint64_t);
-    std::map<std::size_t, double> imbalance() const;
+    using OpenFlows = std::map<TargetId, std::int64_t> Service::*;
+    std::map<std::size_t, double> imbalance(OpenFlows) const;
 
     SimulationOptions m_options;
     SimulationResult m_result;
     pcg32 m_random;
     std::uint32_t m_nowMs = 0;
     ConfigSnapshotPointer m_config;
-    fakes::TableBuilder m_table;
-    SlotMover m_mover;
+    TablePlanner m_planner;
     TableSnapshotPointer m_written;
-    std::uint32_t m_writtenAtMs = 0;
-    bool m_announced = false;
-    bool m_changing = false;
+    // When each table version was written, by version.
+    std::map<TableVersion, std::uint32_t> m_writtenAtMs;
+    std::uint32_t m_weightsSteppedAtMs = 0;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::array<Service, 2> m_services;
     std::vector<Flow> m_flows;
--- a/bench/compare/main.cpp
+++ b/bench/compare/main.cpp
@@ -78,19 +78,30 @@
     const SimulationResult& result = run.result;
     nlohmann::json before;
     nlohmann::json after;
+    nlohmann::json requestsAfter;
     for (const auto& [hosts, value] : result.imbalanceBefore)
         before[std::to_string(hosts)] = value;
     for (const auto& [hosts, value] : result.imbalanceAfter)
         after[std::to_string(hosts)] = value;
+    for (const auto& [hosts, value] : result.requestImbalanceAfter)
+        requestsAfter[std::to_string(hosts)] = value;
     return { { "design", nameOf(run.options.design) }, { "scenario", nameOf(run.options.scenario) },
         { "seed", run.options.seed }, { "durationMs", run.options.durationMs },
         { "newFlowsPerBalancer", run.options.newFlowsPerBalancer }, { "flows", result.flows },
         { "packets", result.packets }, { "broken", result.broken }, { "droppedPackets", result.droppedPackets },
         { "relays", result.relays }, { "maxRelaysOfPacket", result.maxRelaysOfPacket },
         { "lateOpenings", result.lateOpenings }, { "lastOpeningAtLeavingMs", result.lastOpeningAtLeavingMs },
-        { "imbalanceBefore", before }, { "imbalanceAfter", after }, { "controlBytes", result.controlBytes },
-        { "controlBytesPerSecond", result.controlRate }, { "peakRecordBytesPerSecond", result.peakRecordRate },
-        { "missedBounds", missedBounds(run) } };
+        { "imbalanceBefore", before }, { "imbalanceAfter", after }, { "requestImbalanceAfter", requestsAfter },
+        { "controlBytes", result.controlBytes }, { "controlBytesPerSecond", result.controlRate },
+        { "peakRecordBytesPerSecond", result.peakRecordRate }, { "missedBounds", missedBounds(run) } };
+}
+
+std::uint64_t total(const std::map<std::string, std::uint64_t>& counts)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [name, count] : counts)
+        sum += count;
+    return sum;
 }
 
 std::string pair(const std::map<std::size_t, double>& values)
@@ -104,10 +115,12 @@
 
 void printTable(const std::vector<Run>& runs)
 {
-    std::cout << "| scenario | design | flows | broken | other target | repeated opening | undelivered "
-                 "| dropped packets | relays a packet | most relays | last opening at leaving, ms "
-                 "| imbalance before (14 / 4 hosts) | after | control B/s | of it records | peak records B/s |\n"
-              << "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    std::cout
+        << "| scenario | design | flows | broken | other target | repeated opening | undelivered "
+           "| dropped packets | relays a packet | most relays | last opening at leaving, ms "
+           "| imbalance before (14 / 4 hosts) | after | after, requests only | control B/s | of it records | peak "
+           "records B/s |\n"
+        << "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
     for (const Run& run : runs) {
         const SimulationResult& result = run.result;
         const auto cause = [&](const char* name) {
@@ -121,12 +134,12 @@
         std::cout << "| " << nameOf(run.options.scenario) << " | " << nameOf(run.options.design) << " | "
                   << result.flows << " | " << result.brokenTotal() << " | " << cause("other_target") << " | "
                   << cause("opening_repeated_at_other_target") << " | " << cause("undelivered") << " | "
-                  << result.droppedPackets << " | " << std::fixed << std::setprecision(3)
+                  << total(result.droppedPackets) << " | " << std::fixed << std::setprecision(3)
                   << static_cast<double>(result.relays) / static_cast<double>(result.packets) << " | "
                   << result.maxRelaysOfPacket << " | " << result.lastOpeningAtLeavingMs << " | "
                   << pair(result.imbalanceBefore) << " | " << pair(result.imbalanceAfter) << " | "
-                  << std::setprecision(0) << result.controlRate << " | " << recordRate << " | " << result.peakRecordRate
-                  << " |\n";
+                  << pair(result.requestImbalanceAfter) << " | " << std::setprecision(0) << result.controlRate << " | "
+                  << recordRate << " | " << result.peakRecordRate << " |\n";
     }
 }
 
@@ -144,13 +157,11 @@
             options.durationMs = static_cast<std::uint32_t>(value * 1000);
         else if (name == "--new-flows")
             options.newFlowsPerBalancer = static_cast<std::uint32_t>(value);
-        else if (name == "--slots-per-step")
-            options.slotsPerStep = value;
         else if (name == "--json")
             jsonPath = argv[i + 1];
         else
-            throw std::invalid_argument("Unknown option " + name
-                + "; known: --seed N, --seconds N, --new-flows N, --slots-per-step N, --json PATH.");
+            throw std::invalid_argument(
+                "Unknown option " + name + "; known: --seed N, --seconds N, --new-flows N, --json PATH.");
     }
     return options;
 }
--- a/packages/process/src/PreparedState.cpp
+++ b/packages/process/src/PreparedState.cpp
@@ -1,7 +1,8 @@
 #include "PreparedState.h"
 
+#include <anvilwalk/version/DoubtFallback.h>
+
 #include <algorithm>
-#include <array>
 
 namespace anvilwalk {
 
@@ -13,30 +14,6 @@
         return found == state.doubts.end() ? nullptr : &found->second;
     }
 
-    bool takesNewFlows(const RoutingState& state, const TableTarget& target)
-    {
-        return !target.leaving && target.weight > 0 && findDoubt(state, target.id) == nullptr;
-    }
-
-    // Replacement for a doubted target, equal on all balancers with the same table and doubts.
-    TargetId fallbackFor(const RoutingState& state, ServiceId service, SlotIndex slot, const ServiceSlots& slots)
-    {
-        TargetId best;
-        std::uint64_t bestWeight = 0;
-        for (const auto& [id, target] : slots.targets) {
-            if (!takesNewFlows(state, target))
-                continue;
-            const std::array<std::uint64_t, 2> words { id.value(),
-                (static_cast<std::uint64_t>(service.value()) << 16) | slot.value() };
-            const std::uint64_t weight = hashBytes(words.data(), sizeof(words));
-            if (best == TargetId() || weight > bestWeight) {
-                best = id;
-                bestWeight = weight;
-            }
-        }
-        return best;
-    }
-
     TargetId openingCandidate(const SlotException& exception, const PreparedOptions& options)
     {
         const bool toNewest = exception.phase == SlotPhase::Moving || !options.honourAnnouncedPhase;
@@ -83,7 +60,8 @@
         if (doubt && !slot.announcedAt)
             slot.announcedAt = doubt->since;
         if (doubt && doubt->agreed) {
-            const TargetId fallback = fallbackFor(state, service, index, slots);
+            const TargetId fallback = doubtFallback(
+                slots, service, index, [&](TargetId target) { return findDoubt(state, target) != nullptr; });
             if (fallback != TargetId())
                 slot.opening = fallback;
         }
