router: make a moving slot stable in two steps

A balancer with the stable version opens flows without a record. An owner that still had the slot as moving sent their next packets to the oldest candidate. The planner now first writes a version in which the newest candidate is the only one, and the stable version when every balancer has echoed it.

--- a/packages/version/include/anvilwalk/version/TableSnapshot.h
+++ b/packages/version/include/anvilwalk/version/TableSnapshot.h
@@ -39,7 +39,7 @@
 // A slot that is not stable.
 struct SlotException {
     SlotPhase phase = SlotPhase::Announced;
-    // Oldest first, at least two.
+    // Oldest first. A moving slot that is about to become stable has one, any other at least two.
     std::vector<TargetId> candidates;
     TableVersion announcedIn;
 };
--- a/packages/version/src/ServicePlan.cpp
+++ b/packages/version/src/ServicePlan.cpp
@@ -152,13 +152,22 @@
         m_changed = true;
         return false;
     }
+    // Only the newest candidate is left. The slot becomes stable when every balancer has this version.
+    if (exception.candidates.size() == 1) {
+        const bool echoed = m_input.echoedByAll.value() + 1 >= m_nextVersion.value() || m_options.applyWithoutEcho;
+        m_changed = m_changed || echoed;
+        return echoed;
+    }
     const ServiceConfig* config = m_input.config->findById(m_service);
     if (!config || m_input.sinceMoving(m_service, slot) <= config->idleDeadline)
         return false;
     if (!m_input.clearOfOlderRecords(m_service, slot) && !m_options.settleWithRecords)
         return false;
+    // A balancer with a stable slot makes no records. An owner that still had older candidates would send the
+    // flows that this balancer opens to the oldest of them.
+    exception.candidates = { exception.candidates.back() };
     m_changed = true;
-    return true;
+    return false;
 }
 
 // Openings of these slots go to the fallback already, so that the slots continue as moving ones.
--- a/packages/version/src/TableSnapshot.cpp
+++ b/packages/version/src/TableSnapshot.cpp
@@ -49,8 +49,9 @@
         for (const table::SlotException& entry : message.exceptions()) {
             if (entry.slot() >= result.slots.size())
                 return invalid(message, "an exception names an unknown slot.");
-            if (entry.candidates_size() < 2)
-                return invalid(message, "an exception has fewer than two candidates.");
+            const int fewest = entry.phase() == table::SLOT_PHASE_MOVING ? 1 : 2;
+            if (entry.candidates_size() < fewest)
+                return invalid(message, "an exception has too few candidates.");
             SlotException exception {
                 .phase = entry.phase() == table::SLOT_PHASE_MOVING ? SlotPhase::Moving : SlotPhase::Announced,
                 .candidates = {},
--- a/tests/fakes/TableBuilder.cpp
+++ b/tests/fakes/TableBuilder.cpp
@@ -96,6 +96,12 @@
     findException(mutableService(id), slot)->set_phase(table::SLOT_PHASE_MOVING);
 }
 
+void TableBuilder::keepNewest(ServiceId id, SlotIndex slot)
+{
+    auto& candidates = *findException(mutableService(id), slot)->mutable_candidates();
+    candidates.erase(candidates.begin(), candidates.end() - 1);
+}
+
 void TableBuilder::makeStable(ServiceId id, SlotIndex slot)
 {
     auto& exceptions = *mutableService(id).mutable_exceptions();
--- a/tests/fakes/TableBuilder.h
+++ b/tests/fakes/TableBuilder.h
@@ -18,6 +18,8 @@
     // Appends a candidate to the slot and announces it.
     void announce(ServiceId, SlotIndex, TargetId);
     void startMoving(ServiceId, SlotIndex);
+    // Leaves the newest candidate only, which is the step before the slot becomes stable.
+    void keepNewest(ServiceId, SlotIndex);
     void makeStable(ServiceId, SlotIndex);
     const table::SlotException* exception(ServiceId, SlotIndex) const;
     const table::ServiceTable& service(ServiceId) const;
