--- a/bench/compare/Simulation.h
+++ b/bench/compare/Simulation.h
@@ -162,7 +162,7 @@
     void join(std::function<void()> done);
     void settle(std::size_t node, std::function<void()> done);
     void viewEverywhere(std::size_t member, int change, std::function<void()> done);
-    void pushRecords(std::size_t from, std::vector<peer::FlowRecordEntry>);
+    void pushRecords(std::size_t from, const std::vector<peer::FlowRecordEntry>&);
     void replicateRecords();
     void countHeartbeats();
     void countRecordBytes(std::uint64_t);
