--- a/packages/process/src/PreparedState.cpp
+++ b/packages/process/src/PreparedState.cpp
@@ -1,5 +1,7 @@
 #include "PreparedState.h"
 
+#include <anvilwalk/version/DoubtFallback.h>
+
 #include <algorithm>
 
 namespace anvilwalk {
