--- a/apps/anvilwalk/PublishCommand.cpp
+++ b/apps/anvilwalk/PublishCommand.cpp
@@ -175,8 +175,9 @@
         if (!options.json)
             printText(report, id);
         ExitCode code = exitCodeOf(report.outcome);
-        const bool applied = report.outcome == PublishOutcome::Applied || report.outcome == PublishOutcome::Overtaken;
-        if (options.wait && applied) {
+        const bool accepted = report.outcome == PublishOutcome::Applied || report.outcome == PublishOutcome::Overtaken
+            || report.outcome == PublishOutcome::Unchanged;
+        if (options.wait && accepted) {
             const Coverage coverage = waitUntilInForce(store, report.version, end, progress);
             code = reportCoverage(coverage, report, options);
             output["inForce"] = { { "everywhere", coverage.everywhere }, { "upToDate", coverage.upToDate },
--- a/apps/anvilwalk/SystemReader.cpp
+++ b/apps/anvilwalk/SystemReader.cpp
@@ -22,9 +22,14 @@
             const auto vm = decodeVm(object);
             if (!isOk(vm))
                 continue;
-            input.dataCentres.insert(valueOf(vm).dataCentre);
-            if (valueOf(vm).entry.role == VmEntry::Role::Entry && !valueOf(vm).entry.leaving)
-                input.listedBalancers.insert(valueOf(vm).entry.balancer);
+            const auto& [dataCentre, entry] = valueOf(vm);
+            input.dataCentres.insert(dataCentre);
+            if (entry.leaving)
+                continue;
+            if (entry.role == VmEntry::Role::Entry)
+                input.listedBalancers.insert(entry.balancer);
+            else
+                input.expected.emplace(dataCentre, entry.service);
         }
     }
 
@@ -45,8 +50,6 @@
     SystemState state { .index = valueOf(index), .report = {} };
     state.report.nowUnixMs = unixTimeMs();
     state.report.configVersion = state.index.version;
-    for (const IndexEntry& entry : state.index.services)
-        state.report.services.push_back(entry.name);
     addVms(valueOf(vms), state.report);
     for (const StoredObject& object : valueOf(statuses).items) {
         auto status = decodeStatus(object.spec);
--- a/apps/anvilwalk/main.cpp
+++ b/apps/anvilwalk/main.cpp
@@ -62,9 +62,12 @@
     return entries;
 }
 
-std::string environment(const char* name)
+// The value of an option, else of an environment variable, else an empty text.
+std::string textOrEnvironment(const cxxopts::ParseResult& result, const char* option, const char* variable)
 {
-    const char* value = std::getenv(name);
+    if (result.count(option) > 0)
+        return result[option].as<std::string>();
+    const char* value = std::getenv(variable);
     return value == nullptr ? "" : value;
 }
 
@@ -80,13 +83,12 @@
     }
     if (entry.takesPlatform)
         add("platform", "URL of the platform's object API, http://ADDRESS:PORT (default: $ANVILWALK_PLATFORM)",
-            cxxopts::value<std::string>()->default_value(environment("ANVILWALK_PLATFORM")));
+            cxxopts::value<std::string>());
     if (name == "publish") {
         add("dry-run", "show what would change and write nothing");
         add("wait", "wait until the version is in force on every balancer");
         add("json", "print the result as JSON");
-        add("operator", "name that the publish is recorded under (default: $USER)",
-            cxxopts::value<std::string>()->default_value(environment("USER")));
+        add("operator", "name that the publish is recorded under (default: $USER)", cxxopts::value<std::string>());
         add("timeout", "time after which the command gives up, for example 30s",
             cxxopts::value<std::string>()->default_value("30s"));
     }
@@ -122,7 +124,7 @@
         options.paths = result["paths"].as<std::vector<std::string>>();
     }
     if (entry.takesPlatform) {
-        options.platformUrl = result["platform"].as<std::string>();
+        options.platformUrl = textOrEnvironment(result, "platform", "ANVILWALK_PLATFORM");
         if (options.platformUrl.empty()) {
             std::cerr << "Name the platform with --platform http://ADDRESS:PORT or set ANVILWALK_PLATFORM.\n";
             return std::nullopt;
@@ -132,7 +134,7 @@
         options.dryRun = result.count("dry-run") > 0;
         options.wait = result.count("wait") > 0;
         options.json = result.count("json") > 0;
-        options.operatorName = result["operator"].as<std::string>();
+        options.operatorName = textOrEnvironment(result, "operator", "USER");
         const auto timeout = readDuration(result, "timeout");
         if (!timeout)
             return std::nullopt;
--- a/packages/process/include/anvilwalk/process/DataCentreStatus.h
+++ b/packages/process/include/anvilwalk/process/DataCentreStatus.h
@@ -30,7 +30,7 @@
     std::uint64_t refused = 0;
     std::uint64_t dropped = 0;
     std::uint64_t relayed = 0;
-    std::vector<TargetStatus> targets;
+    std::vector<TargetStatus> targets = {};
 };
 
 struct BalancerVersions {
--- a/packages/process/include/anvilwalk/process/Publisher.h
+++ b/packages/process/include/anvilwalk/process/Publisher.h
@@ -32,7 +32,7 @@
 
 struct PublishReport {
     PublishOutcome outcome = PublishOutcome::NotApplied;
-    // Version of the configuration with this publish, if it was applied.
+    // Version of the configuration that has these settings, if one has them.
     ConfigVersion version;
     // One or more sentences for the operator.
     std::string message;
@@ -78,7 +78,7 @@
 
     PublishReport begin(PublishRequest&);
     PublishReport commit(const PublishRequest&, const State& begunOn, PublishPlan);
-    std::optional<PublishReport> judgePlan(const PublishPlan&) const;
+    std::optional<PublishReport> judgePlan(const PublishPlan&, ConfigVersion current) const;
     std::optional<PublishReport> settle(
         const PublishRequest&, const State& written, const State& readBack, const PublishPlan&, bool uncertain) const;
 
--- a/packages/process/include/anvilwalk/process/ReportFigures.h
+++ b/packages/process/include/anvilwalk/process/ReportFigures.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvilwalk {
@@ -14,8 +15,8 @@
 struct ReportInput {
     std::int64_t nowUnixMs = 0;
     ConfigVersion configVersion;
-    // Services of the configuration in force.
-    std::vector<ServiceName> services;
+    // Services that should have targets in a data centre, by the VM list.
+    std::set<std::pair<DataCentreId, ServiceName>> expected;
     // Data centres of the VM list; those with a status count as well.
     std::set<DataCentreId> dataCentres;
     // Entry VMs of the VM list that are not leaving.
@@ -41,7 +42,8 @@
     std::uint64_t flowsLeft = 0;
 };
 
-// A line of the report. The counts are absent if the data centre has no status of the service.
+// A line of the report: a service that has or should have targets or traffic in a data centre. The counts are
+// absent if the data centre has no status of the service.
 struct ReportRow {
     DataCentreId dataCentre;
     ServiceName service;
--- a/packages/process/src/Publisher.cpp
+++ b/packages/process/src/Publisher.cpp
@@ -85,7 +85,7 @@
     progress("The configuration in force is version " + std::to_string(begunOn.published.index.version.value()) + ".");
 
     PublishPlan plan = planPublish(request, begunOn.published.index, begunOn.published, m_listedTargets);
-    if (const auto report = judgePlan(plan))
+    if (const auto report = judgePlan(plan, begunOn.published.index.version))
         return *report;
     if (m_options.dryRun)
         return makeReport(PublishOutcome::Planned, "The publish would be accepted. Nothing was written.", plan);
@@ -102,7 +102,7 @@
     return commit(request, begunOn, std::move(plan));
 }
 
-std::optional<PublishReport> Publisher::judgePlan(const PublishPlan& plan) const
+std::optional<PublishReport> Publisher::judgePlan(const PublishPlan& plan, ConfigVersion current) const
 {
     if (!plan.clashes.empty() && !m_options.testSwitches.ignoreClashes)
         return makeReport(PublishOutcome::Conflict, describeClashes(plan.clashes), plan);
@@ -112,9 +112,12 @@
             text += fault + ".\n";
         return makeReport(PublishOutcome::Rejected, text + "Nothing was put in force.", plan);
     }
-    if (plan.differences.empty())
-        return makeReport(PublishOutcome::Unchanged, "The configuration in force has these settings already.", plan);
-    return std::nullopt;
+    if (!plan.differences.empty())
+        return std::nullopt;
+    PublishReport report
+        = makeReport(PublishOutcome::Unchanged, "The configuration in force has these settings already.", plan);
+    report.version = current;
+    return report;
 }
 
 PublishReport Publisher::commit(const PublishRequest& request, const State& begunOn, PublishPlan plan)
@@ -161,7 +164,7 @@
                 if (next.revisions.empty())
                     next.revisions = plan.revisions;
                 plan = std::move(next);
-                if (const auto report = judgePlan(plan))
+                if (const auto report = judgePlan(plan, current.published.index.version))
                     return *report;
                 continue;
             }
--- a/packages/process/src/ReportFigures.cpp
+++ b/packages/process/src/ReportFigures.cpp
@@ -94,14 +94,28 @@
 
     bool isRecent(const ReportPart& part) { return part.ageMs && *part.ageMs <= oldStatusMs; }
 
-    std::vector<ServiceName> servicesOf(const ReportInput& input, const DataCentreStatus* status)
+    // A status lists every published service, and many of them live in other data centres.
+    bool hasTargetsOrTraffic(const ServiceSummary& service)
     {
-        std::set<ServiceName> names(input.services.begin(), input.services.end());
-        if (status != nullptr) {
-            for (const ServiceSummary& service : status->services)
+        return !service.targets.empty() || service.openFlows > 0 || service.openings > 0 || service.refused > 0
+            || service.dropped > 0 || service.relayed > 0;
+    }
+
+    std::set<ServiceName> servicesOf(
+        const ReportInput& input, const DataCentreId& dataCentre, const DataCentreStatus* status)
+    {
+        std::set<ServiceName> names;
+        for (const auto& [expectedIn, name] : input.expected) {
+            if (expectedIn == dataCentre)
+                names.insert(name);
+        }
+        if (status == nullptr)
+            return names;
+        for (const ServiceSummary& service : status->services) {
+            if (hasTargetsOrTraffic(service))
                 names.insert(service.name);
         }
-        return { names.begin(), names.end() };
+        return names;
     }
 
     std::optional<ReportCounts> countsOf(
@@ -150,7 +164,7 @@
     for (const DataCentreId& dataCentre : dataCentres) {
         const auto* status = findBy(input.statuses, dataCentre, &DataCentreStatus::dataCentre);
         figures.parts.push_back(describePart(input, dataCentre, status));
-        for (const ServiceName& name : servicesOf(input, status))
+        for (const ServiceName& name : servicesOf(input, dataCentre, status))
             figures.rows.push_back(
                 { .dataCentre = dataCentre, .service = name, .counts = countsOf(input, status, name) });
     }
--- a/tests/process/ReportTest.cpp
+++ b/tests/process/ReportTest.cpp
@@ -39,11 +39,15 @@
 {
     ReportInput input { .nowUnixMs = now,
         .configVersion = ConfigVersion(12),
-        .services = { ServiceName("cordeles/dispatch"), ServiceName("cordeles/photo-intake") },
+        .expected = {},
         .dataCentres = { DataCentreId("lima-a"), DataCentreId("lima-b"), DataCentreId("lima-c") },
         .listedBalancers = { BalancerId("vm-1"), BalancerId("vm-9") },
         .statuses = {},
         .earlierStatuses = {} };
+    for (const DataCentreId& dataCentre : input.dataCentres) {
+        input.expected.emplace(dataCentre, "cordeles/dispatch");
+        input.expected.emplace(dataCentre, "cordeles/photo-intake");
+    }
     input.statuses.push_back(status("lima-a", 2400, { balancer("vm-1", 12), balancer("vm-2", 12) }, json::array(),
         { service("cordeles/dispatch", 0,
               { target("host-1", 2000), target("host-2", 1980), target("host-3", 40, true, 40) }),
@@ -90,6 +94,15 @@
     CHECK(figures.rows[1].counts->newFlows == 71'234);
 }
 
+TEST_CASE("A report leaves out services that live in other data centres and keeps those with dropped packets")
+{
+    ReportInput input = sampleInput();
+    input.statuses[0].services.push_back({ .name = ServiceName("lakeshore/routes") });
+    CHECK(computeReport(input).rows.size() == 6);
+    input.statuses[0].services.back().dropped = 1;
+    CHECK(computeReport(input).rows.size() == 7);
+}
+
 TEST_CASE("A report names what is missing and is complete only without gaps")
 {
     ReportInput input = sampleInput();
