--- a/packages/process/src/CellController.cpp
+++ b/packages/process/src/CellController.cpp
@@ -2,8 +2,9 @@
 
 namespace anvilwalk {
 
-CellController::CellController(const CellControllerOptions& options, std::shared_ptr<FlowTable> flows)
-    : m_implementation(std::make_unique<Implementation>(options, std::move(flows)))
+CellController::CellController(const CellControllerOptions& options,
+    std::shared_ptr<FlowTable> flows) // NOLINT(performance-unnecessary-value-param)
+    : m_implementation(std::make_unique<Implementation>(options, flows))
 {
 }
 
--- a/packages/process/src/CellControllerImplementation.cpp
+++ b/packages/process/src/CellControllerImplementation.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-CellController::Implementation::Implementation(const CellControllerOptions& options, std::shared_ptr<FlowTable> flows)
+CellController::Implementation::Implementation(
+    const CellControllerOptions& options, const std::shared_ptr<FlowTable>& flows)
     : m_options(options)
     , m_membership(options)
     , m_directory(options.dataCentre)
--- a/packages/process/src/CellControllerImplementation.h
+++ b/packages/process/src/CellControllerImplementation.h
@@ -7,7 +7,7 @@
 // Passes events to the parts of the control decisions and connects their results.
 class CellController::Implementation {
 public:
-    Implementation(const CellControllerOptions&, std::shared_ptr<FlowTable>);
+    Implementation(const CellControllerOptions&, const std::shared_ptr<FlowTable>&);
 
     void handleHeartbeat(const peer::Heartbeat&, MonotonicTime now);
     void handleTable(const table::TableSet&, StoreVersion, MonotonicTime now);
--- a/packages/process/src/DoubtAgreement.cpp
+++ b/packages/process/src/DoubtAgreement.cpp
@@ -137,9 +137,9 @@
     if (m_applied.empty())
         return result;
     for (const auto& [service, slots] : table.services()) {
-        for (std::uint16_t index = 0; index < slots.slots.size(); ++index) {
+        for (std::size_t index = 0; index < slots.slots.size(); ++index) {
             if (m_applied.contains(slots.slots[index]))
-                result.insert({ service, SlotIndex(index) });
+                result.insert({ service, SlotIndex(static_cast<std::uint16_t>(index)) });
         }
     }
     return result;
--- a/packages/process/src/TargetMonitor.cpp
+++ b/packages/process/src/TargetMonitor.cpp
@@ -93,7 +93,7 @@
             TargetState& state = targets[id];
             const auto found = m_targets.find(id);
             if (found != m_targets.end())
-                state = std::move(found->second);
+                state = found->second;
             state.service = service;
         }
     }
--- a/packages/version/src/ServicePlan.cpp
+++ b/packages/version/src/ServicePlan.cpp
@@ -170,8 +170,8 @@
         return;
     const auto isDoubtedNow
         = [&](TargetId id) { return m_input.appliedDoubts.contains(id) || m_input.agreedDoubts.contains(id); };
-    for (std::uint16_t index = 0; index < m_current->slots.size(); ++index) {
-        const SlotIndex slot(index);
+    for (std::size_t index = 0; index < m_current->slots.size(); ++index) {
+        const SlotIndex slot(static_cast<std::uint16_t>(index));
         if (!m_input.agreedDoubts.contains(m_current->slots[index]))
             continue;
         const TargetId fallback = doubtFallback(*m_current, m_service, slot, isDoubtedNow);
@@ -258,7 +258,7 @@
 std::vector<SlotIndex> ServicePlan::slotsToMove(const std::map<TargetId, std::size_t>& wanted) const
 {
     std::vector<std::tuple<bool, std::uint64_t, SlotIndex>> order;
-    for (std::uint16_t index = 0; index < m_slots.slots.size(); ++index) {
+    for (std::uint16_t index = 0; index < slotsPerService; ++index) {
         const SlotException* exception = m_slots.findException(SlotIndex(index));
         if (exception && exception->candidates.size() >= maxSlotCandidates)
             continue;
--- a/tests/fakes/CellHarness.cpp
+++ b/tests/fakes/CellHarness.cpp
@@ -96,7 +96,7 @@
 
 void CellHarness::deliver(FakeBalancer& to, Duration delay, std::function<void(CellController&)> event)
 {
-    schedule(delay, [this, &to, event = std::move(event)] {
+    schedule(delay, [&to, event = std::move(event)] {
         if (!to.alive)
             return;
         if (to.paused) {
@@ -220,6 +220,7 @@
         if (!to || !connected(from.options.self.value(), to->options.self.value()))
             continue;
         from.heartbeatBytes += send.heartbeat.ByteSizeLong();
+        ++from.heartbeats;
         from.largestHeartbeat = std::max<std::uint64_t>(from.largestHeartbeat, send.heartbeat.ByteSizeLong());
         deliver(*to, latency(),
             [this, heartbeat = send.heartbeat](CellController& c) { c.handleHeartbeat(heartbeat, m_now); });
--- a/tests/fakes/CellHarness.h
+++ b/tests/fakes/CellHarness.h
@@ -54,6 +54,7 @@
     // A lower table version came into force after a higher one.
     bool wentBack = false;
     std::uint64_t heartbeatBytes = 0;
+    std::uint64_t heartbeats = 0;
     std::uint64_t largestHeartbeat = 0;
 };
 
--- a/tests/process/CellScenarios.h
+++ b/tests/process/CellScenarios.h
@@ -141,7 +141,7 @@
     void finish()
     {
         invariants.requireSameMembers();
-        invariants.require(cell.routing().size() > 0, "No balancer routes packets.");
+        invariants.require(!cell.routing().empty(), "No balancer routes packets.");
     }
 
     CellHarness cell;
--- a/tests/process/CellScenariosTest.cpp
+++ b/tests/process/CellScenariosTest.cpp
@@ -578,7 +578,8 @@
     for (const CellScenario& scenario : cellScenarios()) {
         DYNAMIC_SECTION(scenario.name)
         {
-            forEachSeed([&](std::uint64_t seed) { CHECK(violationOf(scenario, seed, {}) == ""); });
+            forEachSeed(
+                [&](std::uint64_t seed) { CHECK_THAT(violationOf(scenario, seed, {}), Catch::Matchers::Equals("")); });
         }
     }
 }
