standins: initialise the time of the simulated network before its users

The caller and the target of the mini TCP test were built from a member that was declared after them. Lint reports it; the tests pass with the right order.

--- a/tests/standins/MiniTcpTest.cpp
+++ b/tests/standins/MiniTcpTest.cpp
@@ -48,6 +48,9 @@
 
 // A caller and a target on a network in simulated time that loses, repeats and delays packets in both directions.
 class LossyWorld {
+    // Declared first, because the caller and the target start at this time.
+    TcpConnection::Time m_now { 1000s };
+
 public:
     LossyWorld(const CallerOptions& callers, double faultRate)
         : caller(callers, m_now)
@@ -114,7 +117,6 @@
 
     bool chance() { return m_random() < m_faultRate * 4294967296.0; }
 
-    TcpConnection::Time m_now { 1000s };
     double m_faultRate;
     pcg32 m_random;
     std::multimap<TcpConnection::Time, InFlight> m_inFlight;
--- a/tests/standins/cell.sh
+++ b/tests/standins/cell.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions that run data centres of stand-ins and balancers on loopback; sourced by the demo and the process tests.
 # A cell is one data centre with its own platform, fabric, targets, balancers and callers. Each cell has a loopback
 # network of its own, 127.N.0.0/16, so that cells of several runs on one machine do not meet:
