daemon: stay silent about bad relayed messages; fix lint findings

libprotobuf wrote a line to standard error for each message with invalid text, which anyone can send to the relay port. A test now reads the summed status with the decoder of the operators' command.

--- a/apps/anvilwalkd/main.cpp
+++ b/apps/anvilwalkd/main.cpp
@@ -1,6 +1,7 @@
 #include "Balancer.h"
 
 #include <cxxopts.hpp>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 
 namespace {
@@ -10,6 +11,8 @@
 int runBalancer(const anvilwalk::Settings& settings)
 {
     anvilwalk::startLog(settings.logLevel);
+    // The library writes a line for each bad message, which anyone can send to the relay port.
+    google::protobuf::SetLogHandler(nullptr);
     anvilwalk::Balancer balancer(settings);
     const anvilwalk::Status status = balancer.start();
     if (!anvilwalk::isOk(status)) {
--- a/packages/process/src/Settings.cpp
+++ b/packages/process/src/Settings.cpp
@@ -40,11 +40,19 @@
     std::string joinNames(const std::set<std::string>& names)
     {
         std::string text;
-        for (const std::string& name : names)
-            text += (text.empty() ? "" : ", ") + name;
+        for (const std::string& name : names) {
+            if (!text.empty())
+                text += ", ";
+            text += name;
+        }
         return text;
     }
 
+    std::string unknownKeyMessage(const std::string& key, const std::string& section)
+    {
+        return "Unknown key \"" + key + "\" in [" + section + "].";
+    }
+
     struct IntegerRange {
         std::int64_t least;
         std::int64_t most;
@@ -130,7 +138,7 @@
         for (const auto& [key, node] : table) {
             const std::string name(key.str());
             if (!known.contains(name))
-                fault(key.source(), "Unknown key \"" + name + "\" in [" + section + "].", "use " + joinNames(known));
+                fault(key.source(), unknownKeyMessage(name, section), "use " + joinNames(known));
         }
     }
 
--- a/tests/process/PacketWorkerTest.cpp
+++ b/tests/process/PacketWorkerTest.cpp
@@ -113,8 +113,9 @@
 TEST_CASE("A packet reaches its target unchanged")
 {
     WorkerFixture fixture;
-    for (std::uint8_t count = 0; count < 200; ++count) {
-        const Bytes packet = fakes::buildTcpPacket(flow, { .ack = true }, Bytes(count * 5U, count));
+    for (std::size_t count = 0; count < 200; ++count) {
+        const Bytes packet
+            = fakes::buildTcpPacket(flow, { .ack = true }, Bytes(count * 5, static_cast<std::uint8_t>(count)));
         sendTo(fixture.client, fixture.packetEndpoint, packet);
         CHECK(receive(fixture.other) == packet);
     }
--- a/tests/process/PeerTransportTest.cpp
+++ b/tests/process/PeerTransportTest.cpp
@@ -145,7 +145,7 @@
         REQUIRE(fakes::await([&] { return handler.hasSequence(sequence); }));
     }
     CHECK(handler.sequences() == std::vector<std::uint64_t> { 1, 2, 3, 4, 5 });
-    CHECK(client.bytesSent() > 5 * 14);
+    CHECK(client.bytesSent() > 70);
 }
 
 // Guards against a queue of old heartbeats for a peer that is slow or away.
--- a/tests/process/StatusSummaryTest.cpp
+++ b/tests/process/StatusSummaryTest.cpp
@@ -88,6 +88,36 @@
     CHECK(service["targets"][1]["openConnections"].is_null());
 }
 
+// Guards against a writer and a reader of the object that use different names.
+TEST_CASE("The summed status is what the operators' command reads")
+{
+    ServiceConfig config;
+    config.id = ServiceId(1);
+    config.name = ServiceName("cordeles/dispatch");
+    const auto decoded = decodeStatus(summarizeStatus({ .dataCentre = DataCentreId("lima-a"),
+        .writer = BalancerId("b1"),
+        .writtenAtUnixMs = 17,
+        .balancers = { makeStatus("b1"), makeStatus("b2") },
+        .missing = { BalancerId("b3") },
+        .targetReports = { { .target = TargetId(10), .reachable = true, .healthy = false, .openFlows = 42 } },
+        .config = std::make_shared<ConfigSnapshot>(ConfigVersion(3), std::vector { config }),
+        .table = makeTable() }));
+    REQUIRE(isOk(decoded));
+    const DataCentreStatus& status = valueOf(decoded);
+    CHECK(status.balancers[1].id == BalancerId("b2"));
+    CHECK(status.balancers[1].state == "settled");
+    CHECK(status.missingBalancers == std::vector { BalancerId("b3") });
+    REQUIRE(status.services.size() == 1);
+    CHECK(status.services[0].name == config.name);
+    CHECK(status.services[0].openings == 6);
+    CHECK(status.services[0].openFlows == 4);
+    REQUIRE(status.services[0].targets.size() == 2);
+    CHECK(status.services[0].targets[0].openConnections == 42);
+    CHECK_FALSE(status.services[0].targets[0].healthy);
+    CHECK(status.services[0].targets[1].leaving);
+    CHECK(status.services[0].targets[1].flowsLeft == 4);
+}
+
 TEST_CASE("A status can be summed before configuration and table are known")
 {
     const nlohmann::json spec = summarizeStatus({ .dataCentre = DataCentreId("lima-a"),
