--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -13,6 +13,7 @@
     --benchmark_min_time=0.3 --benchmark_repetitions=3 --benchmark_report_aggregates_only=true >"$work/decisions.txt"
 build/bin/anvilwalk_compare --json "$work/comparison.json" >"$work/comparison.txt" || true
 build/bin/anvilwalk_throughput >"$work/throughput.txt"
+bench/measure-fleet.sh "$PWD/build/bin" "$PWD/$work/fleet" >"$work/fleet.json" 2>"$work/fleet.log"
 
 jq -n --arg commit "$(git rev-parse --short HEAD)" \
     --arg cores "$(nproc)" \
@@ -21,12 +22,14 @@
     --arg date "$(date -u +%F)" \
     --rawfile throughput "$work/throughput.txt" \
     --slurpfile decisions "$work/decisions.json" \
-    --slurpfile comparison "$work/comparison.json" '
+    --slurpfile comparison "$work/comparison.json" \
+    --slurpfile fleet "$work/fleet.json" '
     { commit: $commit, date: $date, machine: { cores: $cores, cpu: $cpu, memory: $memory },
       decisions: [ $decisions[0].benchmarks[] | select(.aggregate_name == "median")
         | del(.family_index, .per_family_instance_index, .run_name, .run_type, .repetitions, .threads,
               .aggregate_name, .aggregate_unit, .iterations) | .name |= rtrimstr("_median") ],
       comparison: $comparison[0],
+      fleet: $fleet[0],
       throughput: ($throughput | split("\n") | map(select(. != ""))) }' >"$out/results.json"
 
 {
@@ -36,6 +39,14 @@
     jq -r '.decisions[] | "| \(.name) | \(.real_time * 100 | round / 100) \(.time_unit) | "
         + ([to_entries[] | select(.key | IN("name", "real_time", "cpu_time", "time_unit") | not)
             | "\(.key) \(.value * 1000000 | round / 1000000)"] | join(", ")) + " |"' "$out/results.json"
+    printf '\n## Real balancers without traffic (6 hosts)\n\n'
+    printf '| balancers | core %% each | resident MB each | control bytes/s each | object API calls/s, cell |\n'
+    printf '| --- | --- | --- | --- | --- |\n'
+    jq -r '.fleet.rest[] | "| \(.balancers) | \(.core_percent_per_balancer) | \(.rss_mb_per_balancer) | "
+        + "\(.control_bytes_per_balancer_second) | \(.object_api_calls_per_second) |"' "$out/results.json"
+    jq -r '.fleet.publish | "\nFrom accepted to in force on nine balancers, \(.publishes) publishes, a watcher killed in "
+        + "the middle: median \(.median_ms) ms, worst \(.worst_ms) ms, \(.object_api_calls_per_publish) object API "
+        + "calls a publish with those at rest."' "$out/results.json"
     printf '\n## Packet path against a bare loop\n\n'
     jq -r '.throughput[] | "    " + .' "$out/results.json"
 } >"$out/results.md"
@@ -56,6 +67,7 @@
 series flowTableMiss real_time >"$work/miss.dat"
 series cellAtRest bytes_per_balancer_second >"$work/control.dat"
 series tableBuild real_time >"$work/table.dat"
+jq -r '.fleet.rest[] | "\(.balancers) \(.control_bytes_per_balancer_second)"' "$out/results.json" >"$work/fleet.dat"
 for plot in bench/plots/*.gp; do
     gnuplot -e "data='$work'; output_file='$out/$(basename "$plot" .gp).svg'" "$plot"
 done
