process: check records from peers, hand openings to the first settled balancer

Cause: RecordExchange had its own conversion of flow records, without the checks of FlowRecordCodec, so a record with a port above 65,535 or a foreign slot was stored. Recent openings went to owner and backup only, although unsettled owners ask the first settled balancer. A joining balancer whose table had no room for a fetched record became settled nevertheless. Change: one conversion for both; the first settled balancer gets the openings too; a joining balancer with refused records stays unsettled and fetches again.

--- a/packages/process/include/anvilwalk/process/FlowRecordCodec.h
+++ b/packages/process/include/anvilwalk/process/FlowRecordCodec.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <peer.pb.h>
 #include <vector>
 
@@ -23,6 +24,12 @@
         std::uint32_t invalid = 0;
     };
 
+    static peer::FlowRecordEntry toEntry(const FlowEntry&, MonotonicTime now);
+    // The confirmed record of an entry from a peer; nothing if its fields do not fit together.
+    static std::optional<FlowEntry> fromEntry(const peer::FlowRecordEntry&, MonotonicTime now);
+    // Time of the last packet of the flow on the clock of this balancer.
+    static MonotonicTime lastPacket(const peer::FlowRecordEntry&, MonotonicTime now);
+
     // Flows of the given slots that opened within the window. Owner and backup get them before this balancer
     // echoes the version that announces the slots.
     static std::vector<peer::FlowRecordEntry> recentOpenings(const FlowTable&, const SlotPredicate&, MonotonicTime now,
@@ -42,7 +49,6 @@
     }
 
 private:
-    static peer::FlowRecordEntry toEntry(const FlowEntry&, MonotonicTime now);
     static void storeOne(FlowTable&, const peer::FlowRecordEntry&, MonotonicTime now, StoreOutcome&);
 };
 
--- a/packages/process/include/anvilwalk/process/RecordExchange.h
+++ b/packages/process/include/anvilwalk/process/RecordExchange.h
@@ -16,7 +16,8 @@
 public:
     RecordExchange(const CellControllerOptions&, std::shared_ptr<FlowTable>);
 
-    // Hands the flows of these slots, opened by this balancer since the given time, to owner and backup.
+    // Hands the flows of these slots, opened by this balancer since the given time, to owner, backup and the first
+    // settled balancer.
     // Returns a number for isDone.
     std::uint64_t handIn(std::set<SlotKey> slots, MonotonicTime openedSince, MonotonicTime now);
     // Pushes records of slots whose owner or backup changed between the two states.
@@ -35,8 +36,9 @@
     peer::FetchRecordsResponse answerFetch(
         const RoutingState&, const peer::FetchRecordsRequest&, MonotonicTime now) const;
     peer::PushRecordsResponse answerPush(const peer::PushRecordsRequest&, MonotonicTime now);
-    // Takes over fetched records. Of two records of a flow, the one with the later packet wins.
-    void merge(const peer::FetchRecordsResponse&, MonotonicTime now);
+    // Takes over fetched records. Of two records of a flow, the one with the later packet wins. Returns false if
+    // the flow table had no room for all.
+    bool merge(const peer::FetchRecordsResponse&, MonotonicTime now);
     // Drops the confirmed records of slots that are stable again.
     void dropSettled(const std::set<SlotKey>&);
     // Drops the confirmed records of slots that others have taken over from this balancer.
--- a/packages/process/src/CellControllerImplementation.cpp
+++ b/packages/process/src/CellControllerImplementation.cpp
@@ -112,9 +112,9 @@
 void CellController::Implementation::handleRecordsFetched(
     const BalancerId& peer, const Result<peer::FetchRecordsResponse>& result, MonotonicTime now)
 {
-    if (isOk(result))
-        m_records.merge(valueOf(result), now);
-    m_join.handleFetched(peer, isOk(result), now);
+    // A balancer without all records must not become settled, because its answer would stand for all.
+    const bool complete = isOk(result) && m_records.merge(valueOf(result), now);
+    m_join.handleFetched(peer, complete, now);
 }
 
 void CellController::Implementation::requestStop(MonotonicTime now)
--- a/packages/process/src/FlowRecordCodec.cpp
+++ b/packages/process/src/FlowRecordCodec.cpp
@@ -71,25 +71,36 @@
     return entry;
 }
 
-void FlowRecordCodec::storeOne(
-    FlowTable& table, const peer::FlowRecordEntry& entry, MonotonicTime now, StoreOutcome& outcome)
+std::optional<FlowEntry> FlowRecordCodec::fromEntry(const peer::FlowRecordEntry& entry, MonotonicTime now)
 {
     const auto key = readKey(entry);
-    const std::uint64_t hash = key ? key->hash() : 0;
-    if (!key || entry.target() == 0 || entry.service() == 0 || slotOf(hash).value() != entry.slot()) {
-        ++outcome.invalid;
-        return;
-    }
-    const MonotonicTime lastSeen = now - std::chrono::milliseconds(entry.idle_ms());
+    if (!key || entry.target() == 0 || entry.service() == 0 || slotOf(key->hash()).value() != entry.slot())
+        return std::nullopt;
     const FlowRecord record {
         .target = TargetId(entry.target()),
         .service = ServiceId(entry.service()),
-        .slot = slotOf(hash),
+        .slot = slotOf(key->hash()),
         .kind = FlowRecordKind::Confirmed,
         .closed = entry.closed(),
-        .openedMs = FlowTable::toMilliseconds(now),
+        .openedMs = FlowTable::toMilliseconds(now) - entry.idle_ms(),
     };
-    const InsertResult result = table.insert(*key, hash, record, lastSeen);
+    return FlowEntry { .key = *key, .record = record };
+}
+
+MonotonicTime FlowRecordCodec::lastPacket(const peer::FlowRecordEntry& entry, MonotonicTime now)
+{
+    return now - std::chrono::milliseconds(entry.idle_ms());
+}
+
+void FlowRecordCodec::storeOne(
+    FlowTable& table, const peer::FlowRecordEntry& entry, MonotonicTime now, StoreOutcome& outcome)
+{
+    const auto flow = fromEntry(entry, now);
+    if (!flow) {
+        ++outcome.invalid;
+        return;
+    }
+    const InsertResult result = table.insert(flow->key, flow->key.hash(), flow->record, lastPacket(entry, now));
     if (result.kind == InsertResult::Kind::Full)
         ++outcome.refused;
     else
--- a/packages/process/src/RecordExchange.cpp
+++ b/packages/process/src/RecordExchange.cpp
@@ -16,46 +16,6 @@
     // About 80 KB a request, below the usual limit of 4 MB for a message by far.
     constexpr std::size_t recordsPerPush = 2000;
 
-    // Simple conversion until the shared codec of the router lands.
-    peer::FlowRecordEntry toEntry(const FlowEntry& flow, MonotonicTime now)
-    {
-        peer::FlowRecordEntry entry;
-        entry.set_source_address(flow.key.source.value);
-        entry.set_destination_address(flow.key.destination.value);
-        entry.set_source_port(flow.key.sourcePort);
-        entry.set_destination_port(flow.key.destinationPort);
-        entry.set_protocol(static_cast<std::uint32_t>(flow.key.protocol));
-        entry.set_service(flow.record.service.value());
-        entry.set_slot(flow.record.slot.value());
-        entry.set_target(flow.record.target.value());
-        entry.set_closed(flow.record.closed);
-        const auto age = static_cast<std::int32_t>(FlowTable::toMilliseconds(now) - flow.record.lastSeenMs);
-        entry.set_idle_ms(static_cast<std::uint32_t>(std::max(age, 0)));
-        return entry;
-    }
-
-    FlowEntry fromEntry(const peer::FlowRecordEntry& entry, MonotonicTime now)
-    {
-        FlowEntry flow;
-        flow.key = { .source = { entry.source_address() },
-            .destination = { entry.destination_address() },
-            .sourcePort = static_cast<std::uint16_t>(entry.source_port()),
-            .destinationPort = static_cast<std::uint16_t>(entry.destination_port()),
-            .protocol = static_cast<Protocol>(entry.protocol()) };
-        flow.record.target = TargetId(entry.target());
-        flow.record.service = ServiceId(entry.service());
-        flow.record.slot = SlotIndex(static_cast<std::uint16_t>(entry.slot()));
-        flow.record.kind = FlowRecordKind::Confirmed;
-        flow.record.closed = entry.closed();
-        flow.record.openedMs = FlowTable::toMilliseconds(now) - entry.idle_ms();
-        return flow;
-    }
-
-    MonotonicTime lastPacket(const peer::FlowRecordEntry& entry, MonotonicTime now)
-    {
-        return now - std::chrono::milliseconds(entry.idle_ms());
-    }
-
     SlotKey keyOf(const FlowRecord& record) { return { record.service, record.slot }; }
 
     std::vector<const RoutingMember*> firstTwo(const RoutingState& state, const SlotKey& key)
@@ -202,7 +162,7 @@
             = found != receiversOf.end() ? found->second : receiversOf[key] = receivers(job, state, key);
         for (const RoutingMember* member : members) {
             if (member->id != m_options.self)
-                batches[member->id].push_back(toEntry(flow, now));
+                batches[member->id].push_back(FlowRecordCodec::toEntry(flow, now));
             else if (observed)
                 own.push_back(flow);
         }
@@ -223,6 +183,12 @@
         const bool holdsAlready = holders != job.holders.end() && holders->second.contains(member->id);
         return holdsAlready || (!member->settled && !job.toUnsettled);
     });
+    // Unsettled balancers at the head of the order ask the first settled one, which therefore needs the records.
+    const std::vector<const RoutingMember*> order = rankMembers(state, key.first, key.second);
+    const auto firstSettled
+        = std::find_if(order.begin(), order.end(), [](const RoutingMember* member) { return member->settled; });
+    if (firstSettled != order.end() && firstSettled - order.begin() >= 2)
+        members.push_back(*firstSettled);
     return members;
 }
 
@@ -259,7 +225,7 @@
     peer::FetchRecordsResponse response;
     m_flows->visit([&](const FlowEntry& flow) {
         if (flow.record.kind == FlowRecordKind::Confirmed && wanted.contains(keyOf(flow.record)))
-            *response.add_records() = toEntry(flow, now);
+            *response.add_records() = FlowRecordCodec::toEntry(flow, now);
     });
     return response;
 }
@@ -268,8 +234,11 @@
 {
     peer::PushRecordsResponse response;
     for (const peer::FlowRecordEntry& entry : request.records()) {
-        const FlowEntry flow = fromEntry(entry, now);
-        const auto result = m_flows->insert(flow.key, flow.key.hash(), flow.record, lastPacket(entry, now));
+        const auto flow = FlowRecordCodec::fromEntry(entry, now);
+        if (!flow)
+            continue;
+        const MonotonicTime seen = FlowRecordCodec::lastPacket(entry, now);
+        const auto result = m_flows->insert(flow->key, flow->key.hash(), flow->record, seen);
         if (result.kind == InsertResult::Kind::Full)
             response.set_refused(response.refused() + 1);
         else
@@ -278,20 +247,25 @@
     return response;
 }
 
-void RecordExchange::merge(const peer::FetchRecordsResponse& response, MonotonicTime now)
+bool RecordExchange::merge(const peer::FetchRecordsResponse& response, MonotonicTime now)
 {
+    bool allStored = true;
     for (const peer::FlowRecordEntry& entry : response.records()) {
-        const FlowEntry flow = fromEntry(entry, now);
-        const std::uint64_t hash = flow.key.hash();
-        const auto own = m_flows->find(flow.key, hash);
-        const MonotonicTime seen = lastPacket(entry, now);
-        if (own && own->kind == FlowRecordKind::Confirmed && own->target != flow.record.target) {
+        const auto flow = FlowRecordCodec::fromEntry(entry, now);
+        if (!flow)
+            continue;
+        const std::uint64_t hash = flow->key.hash();
+        const auto own = m_flows->find(flow->key, hash);
+        const MonotonicTime seen = FlowRecordCodec::lastPacket(entry, now);
+        if (own && own->kind == FlowRecordKind::Confirmed && own->target != flow->record.target) {
             const auto later = static_cast<std::int32_t>(own->lastSeenMs - FlowTable::toMilliseconds(seen));
-            if (later > 0 || (later == 0 && own->target < flow.record.target))
+            if (later > 0 || (later == 0 && own->target < flow->record.target))
                 continue;
         }
-        m_flows->assign(flow.key, hash, flow.record, seen);
+        const InsertResult result = m_flows->assign(flow->key, hash, flow->record, seen);
+        allStored = allStored && result.kind != InsertResult::Kind::Full;
     }
+    return allStored;
 }
 
 void RecordExchange::dropSettled(const std::set<SlotKey>& slots)
