--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -1,6 +1,7 @@
 #include <anvilwalk/process.h>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace anvilwalk;
 
@@ -120,3 +121,24 @@
     REQUIRE(std::holds_alternative<Findings>(result));
     CHECK(std::get<Findings>(result).all().front().place.file == "/nonexistent/settings.toml");
 }
+
+// Guards against a crash on a damaged settings file, and against faults without a place in the file.
+TEST_CASE("Settings from changed text are read or refused with findings")
+{
+    const bool passed = rc::check("changed settings never crash the reader", [] {
+        std::string text = validText;
+        const auto changes = *rc::gen::inRange(1, 8);
+        for (int change = 0; change < changes; ++change) {
+            const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+            const auto letter = *rc::gen::arbitrary<char>();
+            if (*rc::gen::arbitrary<bool>())
+                text[place] = letter;
+            else
+                text.insert(place, 1, letter);
+        }
+        const auto result = parseSettings(text, "b.toml");
+        if (const auto* findings = std::get_if<Findings>(&result))
+            RC_ASSERT(!findings->empty());
+    });
+    CHECK(passed);
+}
