--- a/tests/TestMain.cpp
+++ b/tests/TestMain.cpp
@@ -1,6 +1,7 @@
 #define CATCH_CONFIG_RUNNER
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
 #include <trompeloeil.hpp>
 
 namespace trompeloeil {
