--- /dev/null
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -0,0 +1,129 @@
+#include "EdgeBalancer.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+namespace anvilwalk {
+
+namespace {
+
+    namespace asio = boost::asio;
+
+    // Pause between two passes over flows, targets and tokens.
+    constexpr std::chrono::milliseconds housekeepingInterval { 500 };
+    // The fabric asks twice a second and takes a balancer out after two misses.
+    constexpr std::chrono::milliseconds withdrawalTime { 1300 };
+    // A stopping balancer ends once no packet has arrived for this long.
+    constexpr std::chrono::milliseconds stopQuietTime { 400 };
+    constexpr std::chrono::milliseconds stopCheckInterval { 100 };
+    // Time before the stop deadline at which the process ends in any case.
+    constexpr std::chrono::milliseconds stopMargin { 500 };
+    // Time left after the longest watch to put a configuration in force.
+    constexpr std::chrono::milliseconds configMargin { 2000 };
+
+    // A connection that went silent is noticed before a configuration is due on a balancer that has been undisturbed.
+    std::chrono::milliseconds watchWaitOf(const EdgeSettings& settings)
+    {
+        constexpr std::chrono::milliseconds shortest { 1000 };
+        return std::max(shortest, settings.calmWindow + settings.configBound - configMargin);
+    }
+
+    StoreFeedOptions feedOptions(const EdgeSettings& settings, std::string_view feed)
+    {
+        StoreFeedOptions options;
+        options.watchWait = watchWaitOf(settings);
+        options.seed = hashText(settings.balancer.value(), hashText(feed));
+        return options;
+    }
+
+} // namespace
+
+EdgeBalancer::EdgeBalancer(const EdgeSettings& settings, asio::io_context& context, const EdgePlatform& platform,
+    EventLog& log, const Clock& clock)
+    : m_settings(settings)
+    , m_context(context)
+    , m_log(log)
+    , m_clock(clock)
+    , m_targets(TargetCatalogueOptions {})
+    , m_flows(FlowTrackerOptions {}, m_targets)
+    , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
+    , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser)
+    , m_view(m_targets, m_router, log, clock)
+    , m_packets({ .address = settings.packetAddress, .clientPort = settings.packetAddress.port }, context,
+          platform.packets, m_router, clock)
+    , m_readyServer(
+          { .address = settings.readyAddress, .path = platform.readyPath }, context, [this] { return isReady(); })
+    , m_targetFeed(feedOptions(settings, "targets"), context, platform.targets, m_view.targetObserver())
+    , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver())
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+Status EdgeBalancer::start()
+{
+    Status status = m_packets.open();
+    if (isOk(status))
+        status = m_readyServer.open();
+    if (!isOk(status))
+        return status;
+    asio::co_spawn(m_context, m_packets.run(), asio::detached);
+    asio::co_spawn(m_context, m_readyServer.run(), asio::detached);
+    asio::co_spawn(m_context, m_targetFeed.run(), asio::detached);
+    asio::co_spawn(m_context, m_routeFeed.run(), asio::detached);
+    asio::co_spawn(m_context, keepHouse(), asio::detached);
+    asio::co_spawn(m_context, handleSignals(), asio::detached);
+    return status;
+}
+
+asio::awaitable<void> EdgeBalancer::keepHouse()
+{
+    asio::steady_timer timer(m_context);
+    for (;;) {
+        timer.expires_after(housekeepingInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        const MonotonicTime now = m_clock.now();
+        m_flows.expire(now);
+        m_targets.expire(now);
+        m_router.expire(now);
+        m_log.flush();
+    }
+}
+
+asio::awaitable<void> EdgeBalancer::handleSignals()
+{
+    for (;;) {
+        const int signal = co_await m_signals.async_wait(asio::use_awaitable);
+        if (signal != SIGHUP)
+            break;
+        if (m_reload)
+            m_reload();
+    }
+    co_await stop();
+}
+
+asio::awaitable<void> EdgeBalancer::stop()
+{
+    m_stopping = true;
+    const MonotonicTime since = m_clock.now();
+    m_log.write(EventKind::Process, "stopping");
+    m_log.flush();
+    const auto longest = m_settings.stopDeadline - std::min(stopMargin, m_settings.stopDeadline);
+    asio::steady_timer timer(m_context);
+    for (;;) {
+        timer.expires_after(stopCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        const MonotonicTime now = m_clock.now();
+        const bool quiet = now - m_packets.lastPacket() >= stopQuietTime;
+        if (now - since >= longest || (now - since >= withdrawalTime && quiet))
+            break;
+    }
+    m_log.write(EventKind::Process, "stopped", logField("packets", m_packets.counters().received));
+    m_log.flush();
+    m_context.stop();
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "EdgeSettings.h"
+#include "PacketFormat.h"
+#include "PacketLoop.h"
+#include "ReadyServer.h"
+#include "ViewKeeper.h"
+
+#include <anvilwalk/discovery.h>
+#include <anvilwalk/eventlog.h>
+#include <anvilwalk/placement.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+namespace anvilwalk {
+
+// What the platform provides to a balancer.
+struct EdgePlatform {
+    const PacketFormat& packets;
+    StoreReader& targets;
+    StoreReader& routes;
+    std::string readyPath;
+};
+
+// One balancer process: forwards packets by flow tokens and keeps its view of targets and routes current.
+class EdgeBalancer {
+public:
+    EdgeBalancer(const EdgeSettings&, boost::asio::io_context&, const EdgePlatform&, EventLog&, const Clock&);
+
+    // Opens the sockets and starts all tasks.
+    Status start();
+    // SIGHUP: reads the settings again.
+    void onReload(std::function<void()> reload) { m_reload = std::move(reload); }
+
+private:
+    boost::asio::awaitable<void> keepHouse();
+    boost::asio::awaitable<void> handleSignals();
+    boost::asio::awaitable<void> stop();
+    bool isReady() const { return !m_stopping && m_view.isComplete(); }
+
+    EdgeSettings m_settings;
+    boost::asio::io_context& m_context;
+    EventLog& m_log;
+    const Clock& m_clock;
+    TargetCatalogue m_targets;
+    FlowTracker m_flows;
+    TargetChooser m_chooser;
+    TokenRouter m_router;
+    ViewKeeper m_view;
+    PacketLoop m_packets;
+    ReadyServer m_readyServer;
+    StoreFeed m_targetFeed;
+    StoreFeed m_routeFeed;
+    boost::asio::signal_set m_signals;
+    std::function<void()> m_reload;
+    bool m_stopping = false;
+};
+
+} // namespace anvilwalk
--- /dev/null
+++ b/apps/anvilwalk-edge/EdgeSettings.cpp
@@ -0,0 +1,153 @@
+#include "EdgeSettings.h"
+
+#include <anvilwalk/toml.h>
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace anvilwalk {
+
+namespace {
+
+    constexpr std::uint32_t minMemoryMegabytes = 16;
+    constexpr std::uint32_t maxMemoryMegabytes = 1 << 20;
+    constexpr std::uint32_t maxMilliseconds = 3'600'000;
+    constexpr double maxStopSeconds = 3600;
+
+    // Reads the sections of a settings file one after the other. Sections and keys that are not known are reported.
+    class EdgeSettingsReader {
+    public:
+        EdgeSettingsReader(const toml::table& root, std::string file)
+            : m_file(std::move(file))
+            , m_reader(root, m_file, "the settings file", m_findings)
+        {
+        }
+
+        std::variant<EdgeSettings, Findings> read()
+        {
+            readSection("balancer", [this](TomlTableReader& section) { readBalancer(section); });
+            readSection("listen", [this](TomlTableReader& section) { readListen(section); });
+            readSection("store", [this](TomlTableReader& section) { readStore(section); });
+            readSection("limits", [this](TomlTableReader& section) { readLimits(section); });
+            readSection("bounds", [this](TomlTableReader& section) { readBounds(section); });
+            m_reader.reportUnknownKeys();
+            if (!m_findings.empty())
+                return m_findings;
+            return m_settings;
+        }
+
+    private:
+        template <class Read> void readSection(const std::string& name, Read read)
+        {
+            const toml::node* node = m_reader.require(name, "..., as a section [" + name + "]");
+            if (node == nullptr)
+                return;
+            const toml::table* table = node->as_table();
+            if (table == nullptr) {
+                m_reader.add(*node, name + " is not a section", "write [" + name + "] on a line of its own");
+                return;
+            }
+            TomlTableReader section(*table, m_file, "[" + name + "]", m_findings);
+            read(section);
+            section.reportUnknownKeys();
+        }
+
+        std::string readName(TomlTableReader& section, const char* key, const char* example)
+        {
+            section.require(key, example);
+            const std::string text = section.text(key, example).value_or("");
+            const toml::node* node = section.find(key);
+            if (node != nullptr && node->is_string() && text.empty())
+                section.add(*node, std::string(key) + " is empty", std::string("write ") + key + " = " + example);
+            return text;
+        }
+
+        Ipv4Endpoint readEndpoint(TomlTableReader& section, const char* key)
+        {
+            constexpr const char* example = "\"10.0.0.1:8000\"";
+            const toml::node* node = section.require(key, example);
+            if (node == nullptr)
+                return {};
+            const auto text = section.text(key, example);
+            const auto endpoint = text ? Ipv4Endpoint::parse(*text) : std::nullopt;
+            if (text && !endpoint)
+                section.add(*node, std::string(key) + " = " + quoteForMessage(*text) + " is not an address with a port",
+                    std::string("write ") + key + " = " + example);
+            return endpoint.value_or(Ipv4Endpoint {});
+        }
+
+        std::chrono::milliseconds readMilliseconds(
+            TomlTableReader& section, const char* key, std::chrono::milliseconds standard)
+        {
+            const auto value = section.number(key, 1, maxMilliseconds, std::to_string(standard.count()));
+            return value ? std::chrono::milliseconds(*value) : standard;
+        }
+
+        void readBalancer(TomlTableReader& section)
+        {
+            m_settings.balancer = BalancerId(readName(section, "id", "\"balancer-1\""));
+            m_settings.dataCentre = DataCentreId(readName(section, "data_centre", "\"lima-a\""));
+        }
+
+        void readListen(TomlTableReader& section)
+        {
+            m_settings.packetAddress = readEndpoint(section, "packets");
+            m_settings.readyAddress = readEndpoint(section, "ready");
+        }
+
+        void readStore(TomlTableReader& section) { m_settings.storeAddress = readEndpoint(section, "address"); }
+
+        void readLimits(TomlTableReader& section)
+        {
+            m_settings.memoryMegabytes = section.number("memory_mb", minMemoryMegabytes, maxMemoryMegabytes, "256")
+                                             .value_or(m_settings.memoryMegabytes);
+        }
+
+        void readBounds(TomlTableReader& section)
+        {
+            m_settings.configBound = readMilliseconds(section, "config_in_force_ms", m_settings.configBound);
+            m_settings.calmWindow = readMilliseconds(section, "calm_window_ms", m_settings.calmWindow);
+            if (const auto seconds = section.decimal("stop_seconds", 0, maxStopSeconds, "6"))
+                m_settings.stopDeadline = std::chrono::milliseconds(static_cast<std::int64_t>(*seconds * 1000));
+        }
+
+        std::string m_file;
+        Findings m_findings;
+        TomlTableReader m_reader;
+        EdgeSettings m_settings;
+    };
+
+} // namespace
+
+std::variant<EdgeSettings, Findings> parseEdgeSettings(std::string_view text, const std::string& fileName)
+{
+    try {
+        const toml::table root = toml::parse(text);
+        return EdgeSettingsReader(root, fileName).read();
+    } catch (const toml::parse_error& error) {
+        const toml::source_position& begin = error.source().begin;
+        Findings findings;
+        findings.add({ .place = { .file = fileName, .line = begin.line, .column = begin.column },
+            .message = "not valid TOML: " + std::string(error.description()),
+            .hint = "correct the syntax; later faults are not shown until then" });
+        return findings;
+    }
+}
+
+std::variant<EdgeSettings, Findings> loadEdgeSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    if (file)
+        text << file.rdbuf();
+    if (file)
+        return parseEdgeSettings(text.str(), path);
+    Findings findings;
+    findings.add({ .place = { .file = path },
+        .message = "the settings file cannot be read",
+        .hint = "check that the file exists and may be read" });
+    return findings;
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/apps/anvilwalk-edge/ReadyServer.cpp
@@ -0,0 +1,93 @@
+#include "ReadyServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace anvilwalk {
+
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = boost::beast::http;
+    using tcp = asio::ip::tcp;
+
+    // A prober's request is a few lines.
+    constexpr std::uint32_t maxHeaderBytes = 8192;
+
+    http::status statusOf(const http::request<http::empty_body>& request, const std::string& path, bool ready)
+    {
+        if (request.target() != path)
+            return http::status::not_found;
+        if (request.method() != http::verb::get)
+            return http::status::method_not_allowed;
+        return ready ? http::status::ok : http::status::service_unavailable;
+    }
+
+} // namespace
+
+ReadyServer::ReadyServer(
+    const ReadyServerOptions& options, asio::io_context& context, std::function<bool()> isReady)
+    : m_options(options)
+    , m_context(context)
+    , m_acceptor(context)
+    , m_isReady(std::move(isReady))
+{
+}
+
+Status ReadyServer::open()
+{
+    const tcp::endpoint endpoint(asio::ip::address_v4(m_options.address.address.value), m_options.address.port);
+    boost::system::error_code error;
+    m_acceptor.open(tcp::v4(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Error { .code = ErrorCode::Unavailable,
+            .message = "cannot listen at " + m_options.address.toString() + ": " + error.message() };
+    return std::monostate {};
+}
+
+asio::awaitable<void> ReadyServer::run()
+{
+    for (;;) {
+        boost::system::error_code error;
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        else if (error == asio::error::operation_aborted)
+            co_return;
+    }
+}
+
+asio::awaitable<void> ReadyServer::serve(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer(maxHeaderBytes);
+    for (;;) {
+        boost::system::error_code error;
+        stream.expires_after(m_options.idleTimeout);
+        http::request<http::empty_body> request;
+        co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+        http::response<http::empty_body> response(
+            statusOf(request, m_options.path, m_isReady()), request.version());
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
+        if (error || !response.keep_alive())
+            co_return;
+    }
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/apps/anvilwalk-edge/ViewKeeper.cpp
@@ -0,0 +1,115 @@
+#include "ViewKeeper.h"
+
+namespace anvilwalk {
+
+ViewKeeper::ViewKeeper(TargetCatalogue& targets, TokenRouter& router, EventLog& log, const Clock& clock)
+    : m_targets(targets)
+    , m_router(router)
+    , m_log(log)
+    , m_clock(clock)
+    , m_targetObserver(*this, "targets")
+    , m_routeObserver(*this, "routes")
+{
+}
+
+void ViewKeeper::FeedObserver::onContact()
+{
+    inContact = true;
+    m_keeper.m_log.write(EventKind::Store, "contact", logField("feed", m_feed));
+    m_keeper.updateCurrency();
+}
+
+void ViewKeeper::FeedObserver::onFailure(const Error& error)
+{
+    inContact = false;
+    m_keeper.m_log.write(
+        EventKind::Store, "call_failed", logField("feed", m_feed), logField("error", std::string_view(error.message)));
+    m_keeper.m_targets.noteStoreOutage(m_keeper.m_clock.now());
+    m_keeper.updateCurrency();
+}
+
+void ViewKeeper::TargetObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
+{
+    const MonotonicTime now = m_keeper.m_clock.now();
+    std::vector<std::string> names;
+    for (const StoreEntry& entry : entries) {
+        m_keeper.putTarget(entry, now);
+        names.push_back(entry.name);
+    }
+    m_keeper.m_targets.retainOnly(names, version, now);
+    hasSnapshot = true;
+    m_keeper.m_log.write(EventKind::Store, "targets_listed", logField("version", version.value()),
+        logField("entries", entries.size()), logField("targets", m_keeper.m_targets.size()));
+    m_keeper.updateCurrency();
+}
+
+void ViewKeeper::TargetObserver::onChanges(const std::vector<StoreEntry>& entries, StoreVersion)
+{
+    const MonotonicTime now = m_keeper.m_clock.now();
+    std::vector<RemovedEntry> removed;
+    for (const StoreEntry& entry : entries) {
+        if (!entry.removed)
+            m_keeper.putTarget(entry, now);
+        else
+            removed.push_back({ .name = entry.name, .version = entry.version });
+    }
+    if (removed.empty())
+        return;
+    m_keeper.m_targets.remove(removed, now);
+    for (const RemovedEntry& entry : removed)
+        m_keeper.m_log.write(EventKind::Target, "entry_removed", logField("target", std::string_view(entry.name)),
+            logField("version", entry.version.value()));
+}
+
+void ViewKeeper::RouteObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
+{
+    hasSnapshot = true;
+    onChanges(entries, version);
+}
+
+void ViewKeeper::RouteObserver::onChanges(const std::vector<StoreEntry>& entries, StoreVersion)
+{
+    for (const StoreEntry& entry : entries) {
+        if (!entry.removed)
+            m_keeper.putRoutes(entry);
+    }
+}
+
+void ViewKeeper::putTarget(const StoreEntry& entry, MonotonicTime now)
+{
+    const auto* record = std::get_if<TargetRecord>(&entry.content);
+    if (record == nullptr) {
+        m_targets.putInvalid(entry.name, entry.version, now);
+        m_log.write(EventKind::Target, "entry_unusable", logField("target", std::string_view(entry.name)),
+            logField("version", entry.version.value()), logField("problem", std::string_view(entry.problem)));
+        return;
+    }
+    m_targets.put(*record, entry.version, now);
+    m_log.write(EventKind::Target, record->state == TargetState::Ready ? "ready" : "draining",
+        logField("target", std::string_view(record->name)), logField("version", entry.version.value()),
+        logField("token", tokenOf(record->key, record->startedMs).value()),
+        logField("service", std::string_view(record->service.value())),
+        logField("cold_ms", record->coldRemaining.count()));
+}
+
+void ViewKeeper::putRoutes(const StoreEntry& entry)
+{
+    if (!entry.problem.empty()) {
+        m_log.write(EventKind::Routes, "unusable", logField("version", entry.version.value()),
+            logField("problem", std::string_view(entry.problem)));
+        return;
+    }
+    const auto* routes = std::get_if<RouteTablePointer>(&entry.content);
+    if (routes == nullptr)
+        return;
+    m_router.setRoutes(*routes);
+    m_log.write(EventKind::Routes, "in_force", logField("config_version", m_router.routes()->version().value()),
+        logField("routes", m_router.routes()->routes().size()));
+}
+
+void ViewKeeper::updateCurrency()
+{
+    m_router.setViewCurrent(m_targetObserver.hasSnapshot && m_targetObserver.inContact);
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/apps/anvilwalk-edge/ViewKeeper.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <anvilwalk/discovery.h>
+#include <anvilwalk/eventlog.h>
+#include <anvilwalk/placement.h>
+#include <anvilwalk/units.h>
+
+namespace anvilwalk {
+
+// Puts what the store says into the catalogue of targets and the router, and logs each change.
+class ViewKeeper {
+public:
+    ViewKeeper(TargetCatalogue&, TokenRouter&, EventLog&, const Clock&);
+
+    StoreFeedObserver& targetObserver() { return m_targetObserver; }
+    StoreFeedObserver& routeObserver() { return m_routeObserver; }
+
+    // Targets and routes have been read once.
+    bool isComplete() const { return m_targetObserver.hasSnapshot && m_router.routes() != nullptr; }
+
+private:
+    // What both feeds have in common.
+    class FeedObserver : public StoreFeedObserver {
+    public:
+        FeedObserver(ViewKeeper& keeper, std::string_view feed)
+            : m_keeper(keeper)
+            , m_feed(feed)
+        {
+        }
+        void onContact() override;
+        void onFailure(const Error&) override;
+
+        bool hasSnapshot = false;
+        bool inContact = false;
+
+    protected:
+        ViewKeeper& m_keeper;
+        std::string_view m_feed;
+    };
+
+    class TargetObserver final : public FeedObserver {
+    public:
+        using FeedObserver::FeedObserver;
+        void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) override;
+        void onChanges(const std::vector<StoreEntry>&, StoreVersion) override;
+    };
+
+    class RouteObserver final : public FeedObserver {
+    public:
+        using FeedObserver::FeedObserver;
+        void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) override;
+        void onChanges(const std::vector<StoreEntry>&, StoreVersion) override;
+    };
+
+    void putTarget(const StoreEntry&, MonotonicTime now);
+    void putRoutes(const StoreEntry&);
+    void updateCurrency();
+
+    TargetCatalogue& m_targets;
+    TokenRouter& m_router;
+    EventLog& m_log;
+    const Clock& m_clock;
+    TargetObserver m_targetObserver;
+    RouteObserver m_routeObserver;
+};
+
+} // namespace anvilwalk
--- a/apps/anvilwalkd/ControlLoop.cpp
+++ b/apps/anvilwalkd/ControlLoop.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-ControlLoop::ControlLoop(const ControlLoopOptions& options, std::shared_ptr<FlowTable> flows, PacketRouter& router,
+ControlLoop::ControlLoop(const ControlLoopOptions& options, std::shared_ptr<FlowTable> flows, RelayRouter& router,
     PeerTransport& transport, std::shared_ptr<ObjectStore> store, const Clock& clock)
     : m_options(options)
     , m_router(router)
--- a/apps/anvilwalkd/ControlLoop.h
+++ b/apps/anvilwalkd/ControlLoop.h
@@ -30,7 +30,7 @@
 // actions in order on a thread of its own. Events may come from any thread.
 class ControlLoop {
 public:
-    ControlLoop(const ControlLoopOptions&, std::shared_ptr<FlowTable>, PacketRouter&, PeerTransport&,
+    ControlLoop(const ControlLoopOptions&, std::shared_ptr<FlowTable>, RelayRouter&, PeerTransport&,
         std::shared_ptr<ObjectStore>, const Clock&);
     ~ControlLoop();
     ControlLoop(const ControlLoop&) = delete;
@@ -88,7 +88,7 @@
     Result<StoreVersion> writeObject(const std::string& kind, const nlohmann::json& spec, StoreVersion expected);
 
     const ControlLoopOptions m_options;
-    PacketRouter& m_router;
+    RelayRouter& m_router;
     PeerTransport& m_transport;
     std::shared_ptr<ObjectStore> m_store;
     const Clock& m_clock;
--- a/apps/anvilwalkd/PacketTracer.cpp
+++ b/apps/anvilwalkd/PacketTracer.cpp
@@ -52,6 +52,9 @@
             span.SetTag("relay", relay->relayEndpoint.toString());
         } else if (std::holds_alternative<RefuseFlow>(decision)) {
             span.SetTag("decision", "refuse");
+        } else if (const auto* reset = std::get_if<ResetFlow>(&decision)) {
+            span.SetTag("decision", "reset");
+            span.SetTag("reason", std::string(toString(reset->reason)));
         } else {
             span.SetTag("decision", "drop");
             span.SetTag("reason", std::string(toString(std::get<DropPacket>(decision).reason)));
--- a/apps/anvilwalkd/PacketWorker.h
+++ b/apps/anvilwalkd/PacketWorker.h
@@ -19,7 +19,7 @@
 class PacketTracer;
 
 struct PacketWorkerOptions {
-    PacketRouter& router;
+    RelayRouter& router;
     const Clock& clock;
     // Counts a packet that does not reach the router.
     std::function<void(DropReason)> noteDrop;
--- a/bench/baselines/ConsistentHashRouter.h
+++ b/bench/baselines/ConsistentHashRouter.h
@@ -13,7 +13,7 @@
 std::vector<const TableTarget*> spreadByPermutation(const ServiceSlots&);
 
 // Forwards by consistent hashing over the current targets and keeps no records.
-class ConsistentHashRouter : public PacketRouter {
+class ConsistentHashRouter : public RelayRouter {
 public:
     Decision route(const PacketView&, MonotonicTime now) override;
     Decision routeRelayed(const RelayHeader&, const PacketView&, MonotonicTime now) override;
--- a/bench/compare/Simulation.h
+++ b/bench/compare/Simulation.h
@@ -82,7 +82,7 @@
     struct Node {
         BalancerId id;
         std::shared_ptr<FlowTable> flows;
-        std::unique_ptr<PacketRouter> router;
+        std::unique_ptr<RelayRouter> router;
         RoutingState state;
         bool inFabric = true;
         bool alive = true;
--- /dev/null
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <anvilwalk/discovery/StoreReader.h>
+#include <anvilwalk/units.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace anvilwalk {
+
+// Receives what a feed learns.
+class StoreFeedObserver {
+public:
+    virtual ~StoreFeedObserver() = default;
+
+    // All entries there are at a version.
+    virtual void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) = 0;
+    virtual void onChanges(const std::vector<StoreEntry>&, StoreVersion) = 0;
+    // The store answered a call after it had not, or for the first time.
+    virtual void onContact() = 0;
+    // A call failed. Called for each failure.
+    virtual void onFailure(const Error&) = 0;
+};
+
+struct StoreFeedOptions {
+    // Longest wait of one watch. A connection that the store answers no more is noticed at its end.
+    std::chrono::milliseconds watchWait { 5000 };
+    // Pause after a watch that brought changes; those that follow closely come with one call.
+    std::chrono::milliseconds changePause { 500 };
+    // First pause after a failed call; doubles with each failure up to the limit.
+    std::chrono::milliseconds retryPause { 100 };
+    std::chrono::milliseconds maxRetryPause { 1000 };
+    std::uint64_t seed = 0;
+};
+
+// Keeps a copy of one kind of entry current: lists all entries, then watches. Lists again when the store has dropped
+// the history it needs.
+class StoreFeed {
+public:
+    StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&);
+    ~StoreFeed();
+    StoreFeed(const StoreFeed&) = delete;
+    StoreFeed& operator=(const StoreFeed&) = delete;
+
+    // Runs until the io_context ends.
+    boost::asio::awaitable<void> run();
+
+private:
+    struct Random;
+
+    boost::asio::awaitable<bool> takeSnapshot();
+    boost::asio::awaitable<bool> takeChanges();
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds);
+    void noteSuccess();
+    void noteFailure(const Error&);
+    std::chrono::milliseconds nextRetryPause();
+
+    StoreFeedOptions m_options;
+    boost::asio::steady_timer m_timer;
+    StoreReader& m_reader;
+    StoreFeedObserver& m_observer;
+    std::unique_ptr<Random> m_random;
+    StoreVersion m_version;
+    bool m_hasSnapshot = false;
+    bool m_inContact = false;
+    std::chrono::milliseconds m_retryPause;
+};
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -0,0 +1,125 @@
+#include <anvilwalk/discovery/StoreFeed.h>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <pcg_random.hpp>
+#include <random>
+#include <utility>
+
+namespace anvilwalk {
+
+namespace asio = boost::asio;
+
+struct StoreFeed::Random {
+    explicit Random(std::uint64_t seed)
+        : engine(seed)
+    {
+    }
+
+    pcg32 engine;
+};
+
+StoreFeed::StoreFeed(
+    const StoreFeedOptions& options, asio::io_context& context, StoreReader& reader, StoreFeedObserver& observer)
+    : m_options(options)
+    , m_timer(context)
+    , m_reader(reader)
+    , m_observer(observer)
+    , m_random(std::make_unique<Random>(options.seed))
+    , m_retryPause(options.retryPause)
+{
+}
+
+StoreFeed::~StoreFeed() = default;
+
+asio::awaitable<void> StoreFeed::run()
+{
+    for (;;) {
+        bool ok = false;
+        if (m_hasSnapshot)
+            ok = co_await takeChanges();
+        else
+            ok = co_await takeSnapshot();
+        if (!ok)
+            co_await pause(nextRetryPause());
+    }
+}
+
+asio::awaitable<bool> StoreFeed::takeSnapshot()
+{
+    std::vector<StoreEntry> entries;
+    StoreVersion version;
+    bool more = true;
+    while (more) {
+        const std::string after = entries.empty() ? std::string() : entries.back().name;
+        auto result = co_await m_reader.list(after);
+        if (!isOk(result)) {
+            noteFailure(errorOf(result));
+            co_return false;
+        }
+        StorePage& page = valueOf(result);
+        // Later pages are newer; watching from the first one's version misses nothing.
+        if (version == StoreVersion())
+            version = page.version;
+        more = page.more && !page.entries.empty();
+        std::move(page.entries.begin(), page.entries.end(), std::back_inserter(entries));
+    }
+    noteSuccess();
+    m_version = std::max(m_version, version);
+    m_hasSnapshot = true;
+    m_observer.onSnapshot(entries, version);
+    co_return true;
+}
+
+asio::awaitable<bool> StoreFeed::takeChanges()
+{
+    auto result = co_await m_reader.watch(m_version, m_options.watchWait);
+    if (!isOk(result)) {
+        if (errorOf(result).code == ErrorCode::Gone) {
+            m_hasSnapshot = false;
+            co_return false;
+        }
+        noteFailure(errorOf(result));
+        co_return false;
+    }
+    noteSuccess();
+    const StoreChanges& changes = valueOf(result);
+    m_version = std::max(m_version, changes.version);
+    if (changes.entries.empty())
+        co_return true;
+    m_observer.onChanges(changes.entries, changes.version);
+    co_await pause(m_options.changePause);
+    co_return true;
+}
+
+asio::awaitable<void> StoreFeed::pause(std::chrono::milliseconds time)
+{
+    m_timer.expires_after(time);
+    boost::system::error_code cancelled;
+    co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+}
+
+void StoreFeed::noteSuccess()
+{
+    m_retryPause = m_options.retryPause;
+    if (std::exchange(m_inContact, true))
+        return;
+    m_observer.onContact();
+}
+
+void StoreFeed::noteFailure(const Error& error)
+{
+    m_inContact = false;
+    m_observer.onFailure(error);
+}
+
+std::chrono::milliseconds StoreFeed::nextRetryPause()
+{
+    const auto longest = static_cast<int>(m_retryPause.count());
+    m_retryPause = std::min(m_retryPause * 2, m_options.maxRetryPause);
+    // Jitter keeps balancers that failed together from calling again together.
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(longest / 2, longest)(m_random->engine));
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/eventlog/include/anvilwalk/eventlog.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// Public header of the eventlog package: structured log lines within a fixed budget.
+
+#include <anvilwalk/eventlog/EventLog.h>
+#include <anvilwalk/eventlog/LineWriter.h>
--- /dev/null
+++ b/packages/placement/src/FlowTracker.cpp
@@ -0,0 +1,196 @@
+#include <anvilwalk/placement/FlowTracker.h>
+
+#include <algorithm>
+
+namespace anvilwalk {
+
+namespace {
+
+    // Weight of a new sample in the smoothed response time.
+    constexpr int responseSmoothing = 8;
+
+    // Whether a comes after b on the circle of 32-bit sequence numbers.
+    bool isAfter(std::uint32_t a, std::uint32_t b) { return static_cast<std::int32_t>(a - b) > 0; }
+
+    void decrement(std::uint32_t& count)
+    {
+        if (count > 0)
+            --count;
+    }
+
+    void addSample(TargetActivity& activity, Duration sample, MonotonicTime now)
+    {
+        if (activity.responseTime == Duration::zero())
+            activity.responseTime = sample;
+        else
+            activity.responseTime += (sample - activity.responseTime) / responseSmoothing;
+        activity.lastResponse = now;
+    }
+
+} // namespace
+
+bool TriedTargets::contains(FlowToken token) const
+{
+    return std::find(tokens.begin(), tokens.begin() + count, token) != tokens.begin() + count;
+}
+
+void TriedTargets::add(FlowToken token)
+{
+    if (count < maximum)
+        tokens[count++] = token;
+}
+
+FlowTracker::FlowTracker(const FlowTrackerOptions& options, TargetCatalogue& targets)
+    : m_options(options)
+    , m_targets(targets)
+{
+}
+
+TriedTargets FlowTracker::triedTargets(const FlowKey& key) const
+{
+    const auto found = m_flows.find(key);
+    return found == m_flows.end() || found->second.open ? TriedTargets {} : found->second.tried;
+}
+
+void FlowTracker::noteRepeatedOpening(const FlowKey& key, MonotonicTime now)
+{
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end() || found->second.open)
+        return;
+    if (TargetActivity* activity = activityOf(found->second.token)) {
+        ++activity->unanswered;
+        activity->lastUnanswered = now;
+    }
+}
+
+void FlowTracker::noteOpening(const FlowKey& key, FlowToken token, MonotonicTime now)
+{
+    auto found = m_flows.find(key);
+    if (found != m_flows.end() && found->second.open) {
+        // The client uses the port again.
+        release(found->second);
+        m_flows.erase(found);
+        found = m_flows.end();
+    }
+    if (found == m_flows.end()) {
+        if (m_flows.size() >= m_options.capacity)
+            return;
+        found = m_flows.emplace(key, Flow {}).first;
+    } else {
+        release(found->second);
+    }
+    Flow& flow = found->second;
+    flow.token = token;
+    flow.lastSeen = now;
+    if (!flow.tried.contains(token))
+        flow.tried.add(token);
+    if (TargetActivity* activity = activityOf(token))
+        ++activity->openings;
+}
+
+void FlowTracker::notePacket(const PacketFields& fields, Target& target, MonotonicTime now)
+{
+    auto found = m_flows.find(fields.key);
+    if (fields.kind == PacketKind::Closing) {
+        if (found == m_flows.end())
+            return;
+        if (found->second.requestInProgress && !fields.reset
+            && isAfter(fields.acknowledgement, found->second.acknowledgedAtRequest))
+            addSample(target.activity, now - found->second.requestSince, now);
+        release(found->second);
+        m_flows.erase(found);
+        return;
+    }
+    if (found == m_flows.end()) {
+        // A flow that was opened through another balancer. Acknowledgements alone do not tell that it goes on.
+        if (fields.payloadBytes == 0 || m_flows.size() >= m_options.capacity)
+            return;
+        found = m_flows.emplace(fields.key, Flow {}).first;
+    }
+    Flow& flow = found->second;
+    flow.lastSeen = now;
+    if (!flow.open || flow.token != target.token)
+        open(flow, target, now);
+    if (flow.requestInProgress && isAfter(fields.acknowledgement, flow.acknowledgedAtRequest)) {
+        addSample(target.activity, now - flow.requestSince, now);
+        endRequest(flow, &target);
+    }
+    if (fields.payloadBytes > 0 && !flow.requestInProgress)
+        startRequest(flow, target, fields, now);
+}
+
+void FlowTracker::open(Flow& flow, Target& target, MonotonicTime now)
+{
+    release(flow);
+    flow.token = target.token;
+    flow.open = true;
+    ++target.activity.openFlows;
+    target.activity.unanswered = 0;
+    target.activity.lastOpened = now;
+}
+
+void FlowTracker::startRequest(Flow& flow, Target& target, const PacketFields& fields, MonotonicTime now)
+{
+    flow.requestInProgress = true;
+    flow.acknowledgedAtRequest = fields.acknowledgement;
+    flow.requestSince = now;
+    ++target.activity.requests;
+}
+
+void FlowTracker::endRequest(Flow& flow, Target* target)
+{
+    flow.requestInProgress = false;
+    if (target != nullptr)
+        decrement(target->activity.requests);
+}
+
+void FlowTracker::release(Flow& flow)
+{
+    TargetActivity* activity = activityOf(flow.token);
+    if (activity != nullptr) {
+        if (flow.open)
+            decrement(activity->openFlows);
+        else
+            decrement(activity->openings);
+        if (flow.requestInProgress)
+            decrement(activity->requests);
+    }
+    flow.open = false;
+    flow.requestInProgress = false;
+    flow.token = FlowToken();
+}
+
+void FlowTracker::forget(const FlowKey& key)
+{
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end())
+        return;
+    release(found->second);
+    m_flows.erase(found);
+}
+
+void FlowTracker::expire(MonotonicTime now)
+{
+    for (auto at = m_flows.begin(); at != m_flows.end();) {
+        Flow& flow = at->second;
+        if (flow.requestInProgress && now - flow.requestSince >= m_options.requestTimeout) {
+            Target* target = m_targets.find(flow.token);
+            endRequest(flow, target);
+        }
+        const auto timeout = flow.open ? m_options.idleTimeout : m_options.openingTimeout;
+        if (now - flow.lastSeen < timeout) {
+            ++at;
+            continue;
+        }
+        release(flow);
+        m_flows.erase(at++);
+    }
+}
+
+TargetActivity* FlowTracker::activityOf(FlowToken token)
+{
+    Target* target = token == FlowToken() ? nullptr : m_targets.find(token);
+    return target == nullptr ? nullptr : &target->activity;
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -0,0 +1,172 @@
+#include <anvilwalk/placement/TargetCatalogue.h>
+
+#include <absl/container/flat_hash_set.h>
+#include <algorithm>
+#include <utility>
+
+namespace anvilwalk {
+
+namespace {
+
+    // After the store's return, entries lapse and come back; removals within this time of an outage are not certain.
+    constexpr std::chrono::seconds outageEffect { 5 };
+
+    bool startedEarlier(const Target& a, const Target& b)
+    {
+        if (a.record.startedMs != b.record.startedMs)
+            return a.record.startedMs < b.record.startedMs;
+        return a.record.name < b.record.name;
+    }
+
+} // namespace
+
+TargetCatalogue::TargetCatalogue(const TargetCatalogueOptions& options)
+    : m_options(options)
+{
+}
+
+void TargetCatalogue::put(const TargetRecord& record, StoreVersion version, MonotonicTime now)
+{
+    auto& slot = m_byName[record.name];
+    if (slot && version <= slot->version)
+        return;
+    const FlowToken token = tokenOf(record.key, record.startedMs);
+    if (slot && slot->token != token) {
+        // The same name runs anew: flows of the earlier run have ended with it.
+        markAbsent(*slot, false, now);
+        m_replaced.push_back(std::move(slot));
+    }
+    if (!slot)
+        slot = std::make_unique<Target>();
+    slot->record = record;
+    slot->token = token;
+    slot->version = version;
+    slot->presence = TargetPresence::Listed;
+    slot->coldUntil = now + record.coldRemaining;
+    rebuildIndex();
+}
+
+void TargetCatalogue::putInvalid(const std::string& name, StoreVersion version, MonotonicTime now)
+{
+    const auto found = m_byName.find(name);
+    if (found == m_byName.end() || version <= found->second->version)
+        return;
+    found->second->version = version;
+    // Another writer changed the entry; the target itself may still run.
+    markAbsent(*found->second, true, now);
+    rebuildServices();
+}
+
+void TargetCatalogue::remove(const std::vector<RemovedEntry>& entries, MonotonicTime now)
+{
+    const bool uncertain = mayHaveLapsed(entries.size(), now);
+    bool changed = false;
+    for (const RemovedEntry& entry : entries) {
+        const auto found = m_byName.find(entry.name);
+        // A removal carries the version of the last content, so an equal one is news.
+        if (found == m_byName.end() || entry.version < found->second->version)
+            continue;
+        Target& target = *found->second;
+        target.version = entry.version;
+        if (target.presence != TargetPresence::Listed)
+            continue;
+        markAbsent(target, uncertain && target.record.state == TargetState::Ready, now);
+        changed = true;
+    }
+    if (changed)
+        rebuildServices();
+}
+
+void TargetCatalogue::retainOnly(const std::vector<std::string>& names, StoreVersion version, MonotonicTime now)
+{
+    const absl::flat_hash_set<std::string> kept(names.begin(), names.end());
+    std::vector<RemovedEntry> vanished;
+    for (const auto& [name, target] : m_byName) {
+        if (target->presence == TargetPresence::Listed && !kept.contains(name))
+            vanished.push_back({ .name = name, .version = version });
+    }
+    remove(vanished, now);
+}
+
+bool TargetCatalogue::mayHaveLapsed(std::size_t removed, MonotonicTime now) const
+{
+    if (m_hadOutage && now - m_lastOutage < outageEffect)
+        return true;
+    constexpr std::size_t percent = 100;
+    return removed >= m_options.lapseMinimum && removed * percent >= m_byName.size() * m_options.lapseSharePercent;
+}
+
+void TargetCatalogue::markAbsent(Target& target, bool mayReturn, MonotonicTime now)
+{
+    target.presence = mayReturn ? TargetPresence::Missing : TargetPresence::Gone;
+    target.absentSince = now;
+}
+
+void TargetCatalogue::expire(MonotonicTime now)
+{
+    bool changed = false;
+    for (auto& [name, target] : m_byName) {
+        if (target->presence != TargetPresence::Missing || now - target->absentSince < m_options.missingGrace)
+            continue;
+        markAbsent(*target, false, now);
+        changed = true;
+    }
+    const auto forgettable = [&](const Target& target) {
+        return target.presence == TargetPresence::Gone && now - target.absentSince >= m_options.goneRetention;
+    };
+    const std::size_t before = m_byName.size() + m_replaced.size();
+    absl::erase_if(m_byName, [&](const auto& entry) { return forgettable(*entry.second); });
+    std::erase_if(m_replaced, [&](const auto& target) { return forgettable(*target); });
+    if (before != m_byName.size() + m_replaced.size())
+        rebuildIndex();
+    else if (changed)
+        rebuildServices();
+}
+
+Target* TargetCatalogue::find(FlowToken token)
+{
+    const auto found = m_byToken.find(token);
+    return found == m_byToken.end() ? nullptr : found->second;
+}
+
+const std::vector<Target*>& TargetCatalogue::targetsOf(const ServiceName& service) const
+{
+    static const std::vector<Target*> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+void TargetCatalogue::rebuildIndex()
+{
+    m_byToken.clear();
+    // A listed target wins a token over one that has ended, and an earlier one over a later.
+    for (const auto& target : m_replaced)
+        m_byToken.emplace(target->token, target.get());
+    for (const auto& [name, target] : m_byName) {
+        target->tokenTaken = false;
+        auto [at, inserted] = m_byToken.emplace(target->token, target.get());
+        if (inserted)
+            continue;
+        Target& other = *at->second;
+        const bool otherWins = other.presence != TargetPresence::Gone
+            && (target->presence == TargetPresence::Gone || startedEarlier(other, *target));
+        (otherWins ? target.get() : &other)->tokenTaken = true;
+        if (!otherWins)
+            at->second = target.get();
+    }
+    rebuildServices();
+}
+
+void TargetCatalogue::rebuildServices()
+{
+    m_byService.clear();
+    for (const auto& [name, target] : m_byName) {
+        if (target->presence != TargetPresence::Gone)
+            m_byService[target->record.service].push_back(target.get());
+    }
+    for (auto& [service, targets] : m_byService)
+        std::sort(targets.begin(), targets.end(),
+            [](const Target* a, const Target* b) { return a->record.name < b->record.name; });
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/placement/src/TargetChooser.cpp
@@ -0,0 +1,116 @@
+#include <anvilwalk/placement/TargetChooser.h>
+
+#include <algorithm>
+#include <limits>
+#include <pcg_random.hpp>
+#include <random>
+
+namespace anvilwalk {
+
+namespace {
+
+    // Targets whose loads differ by less are equal; one of them is taken at random.
+    constexpr double loadTolerance = 1e-6;
+
+    // Preference of a target before load counts; lower is better.
+    enum Rank : int {
+        Answering = 0,
+        // Left opening packets unanswered, or its entry is missing.
+        Doubtful = 1,
+        // A copy of this opening packet went there already.
+        Tried = 2,
+        Unusable = 3,
+    };
+
+    bool isFresh(const TargetActivity& activity, std::chrono::milliseconds valid, MonotonicTime now)
+    {
+        return activity.responseTime > Duration::zero() && now - activity.lastResponse < valid;
+    }
+
+} // namespace
+
+struct TargetChooser::Random {
+    explicit Random(std::uint64_t seed)
+        : engine(seed)
+    {
+    }
+
+    pcg32 engine;
+};
+
+TargetChooser::TargetChooser(const TargetChooserOptions& options)
+    : m_options(options)
+    , m_random(std::make_unique<Random>(options.seed))
+{
+}
+
+TargetChooser::~TargetChooser() = default;
+
+Target* TargetChooser::choose(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
+{
+    Duration fastest = Duration::max();
+    for (const Target* target : targets) {
+        if (isFresh(target->activity, m_options.responseTimeValid, now))
+            fastest = std::min(fastest, target->activity.responseTime);
+    }
+    Target* best = nullptr;
+    int bestRank = Unusable;
+    double bestLoad = std::numeric_limits<double>::max();
+    std::uint32_t equals = 0;
+    for (Target* target : targets) {
+        const int rank = rankOf(*target, tried, now);
+        if (rank == Unusable || rank > bestRank)
+            continue;
+        const double load = loadOf(*target, fastest, now);
+        const bool better = rank < bestRank || load < bestLoad - loadTolerance;
+        if (!better && load > bestLoad + loadTolerance)
+            continue;
+        equals = better ? 1 : equals + 1;
+        // Each of several equal targets is kept with the same probability.
+        if (better || m_random->engine(equals) == 0) {
+            best = target;
+            bestRank = rank;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+int TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
+{
+    if (target.tokenTaken || target.record.state == TargetState::Draining || target.presence == TargetPresence::Gone)
+        return Unusable;
+    if (tried.contains(target.token))
+        return Tried;
+    if (target.presence == TargetPresence::Missing || isAvoided(target, now))
+        return Doubtful;
+    return Answering;
+}
+
+bool TargetChooser::isAvoided(const Target& target, MonotonicTime now) const
+{
+    const TargetActivity& activity = target.activity;
+    if (activity.unanswered == 0)
+        return false;
+    const auto period = std::min(activity.unanswered * m_options.avoidUnanswered, m_options.maxAvoid);
+    return now - activity.lastUnanswered < period;
+}
+
+double TargetChooser::loadOf(const Target& target, Duration fastest, MonotonicTime now) const
+{
+    const TargetActivity& activity = target.activity;
+    const double busy = activity.requests + activity.openings;
+    const double idle = activity.openFlows > activity.requests ? activity.openFlows - activity.requests : 0;
+    double load = (busy + 1 + idle * m_options.idleFlowLoad) / std::max<std::uint32_t>(target.record.slots, 1);
+    if (isFresh(activity, m_options.responseTimeValid, now) && fastest > Duration::zero()) {
+        const double slower = static_cast<double>(activity.responseTime.count()) / static_cast<double>(fastest.count());
+        load *= std::clamp(slower, 1.0, m_options.maxSlowFactor);
+    } else if (now < target.coldUntil) {
+        load *= m_options.coldFactor;
+    }
+    if (target.record.dataCentre != m_options.dataCentre)
+        load += m_options.remotePenalty;
+    return load;
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/placement/src/TokenRouter.cpp
@@ -0,0 +1,133 @@
+#include <anvilwalk/placement/TokenRouter.h>
+
+#include <utility>
+
+namespace anvilwalk {
+
+namespace {
+
+    // The service that a new flow of a route goes to; the same for all copies of an opening packet.
+    const ServiceName& pickService(const Route& route, const FlowKey& key)
+    {
+        if (route.services.size() == 1)
+            return route.services.front().service;
+        std::uint64_t total = 0;
+        for (const WeightedService& choice : route.services)
+            total += choice.weight;
+        std::uint64_t position = key.hash() % total;
+        for (const WeightedService& choice : route.services) {
+            if (position < choice.weight)
+                return choice.service;
+            position -= choice.weight;
+        }
+        return route.services.back().service;
+    }
+
+    ForwardToTarget forwardTo(const Target& target)
+    {
+        return { .target = {},
+            .tunnel = target.record.address,
+            .service = {},
+            .token = target.token,
+            .targetKey = target.record.key };
+    }
+
+} // namespace
+
+TokenRouter::TokenRouter(
+    const TokenRouterOptions& options, TargetCatalogue& targets, FlowTracker& flows, TargetChooser& chooser)
+    : m_options(options)
+    , m_targets(targets)
+    , m_flows(flows)
+    , m_chooser(chooser)
+{
+}
+
+void TokenRouter::setRoutes(RouteTablePointer routes)
+{
+    if (m_routes && routes->version() <= m_routes->version())
+        return;
+    m_routes = std::move(routes);
+}
+
+Decision TokenRouter::route(const PacketView& packet, MonotonicTime now)
+{
+    const PacketFields& fields = packet.fields();
+    if (!m_routes)
+        return drop(DropReason::StaleState);
+    const Route* route = m_routes->find(fields.key.serviceAddress());
+    if (route == nullptr)
+        return reset(fields, DropReason::UnknownAddress);
+    if (fields.kind == PacketKind::Opening)
+        return placeOpening(fields, *route, now);
+    return routeOpen(fields, now);
+}
+
+Decision TokenRouter::placeOpening(const PacketFields& fields, const Route& route, MonotonicTime now)
+{
+    if (fields.openingCopy > 0) {
+        m_flows.noteRepeatedOpening(fields.key, now);
+        ++m_counters.reopened;
+    }
+    const auto& targets = m_targets.targetsOf(pickService(route, fields.key));
+    const Target* target = m_chooser.choose(targets, m_flows.triedTargets(fields.key), now);
+    if (target == nullptr)
+        return reset(fields, DropReason::NoTarget);
+    m_flows.noteOpening(fields.key, target->token, now);
+    ++m_counters.opened;
+    ++m_counters.forwarded;
+    return forwardTo(*target);
+}
+
+Decision TokenRouter::routeOpen(const PacketFields& fields, MonotonicTime now)
+{
+    if (fields.token == FlowToken())
+        return drop(DropReason::NoToken);
+    Target* target = m_targets.find(fields.token);
+    if (target == nullptr)
+        return routeUnknownToken(fields, now);
+    if (target->presence == TargetPresence::Gone) {
+        m_flows.forget(fields.key);
+        return reset(fields, DropReason::TargetGone);
+    }
+    m_flows.notePacket(fields, *target, now);
+    ++m_counters.forwarded;
+    return forwardTo(*target);
+}
+
+Decision TokenRouter::routeUnknownToken(const PacketFields& fields, MonotonicTime now)
+{
+    if (!m_viewCurrent)
+        return drop(DropReason::UnknownToken);
+    const auto found = m_unknownSince.find(fields.token);
+    if (found != m_unknownSince.end()) {
+        if (now - found->second >= m_options.unknownTokenGrace)
+            return reset(fields, DropReason::UnknownToken);
+    } else if (m_unknownSince.size() < m_options.maxUnknownTokens) {
+        m_unknownSince.emplace(fields.token, now);
+    }
+    return drop(DropReason::UnknownToken);
+}
+
+Decision TokenRouter::reset(const PacketFields& fields, DropReason reason)
+{
+    if (fields.reset)
+        return drop(reason);
+    ++m_counters.resets[static_cast<std::size_t>(reason)];
+    return ResetFlow { .reason = reason };
+}
+
+Decision TokenRouter::drop(DropReason reason)
+{
+    ++m_counters.drops[static_cast<std::size_t>(reason)];
+    return DropPacket { .reason = reason };
+}
+
+void TokenRouter::expire(MonotonicTime now)
+{
+    // Older entries belong to flows that have ended by their own timeouts.
+    constexpr std::chrono::seconds retention { 60 };
+    absl::erase_if(m_unknownSince, [&](const auto& entry) { return now - entry.second >= retention; });
+}
+
+} // namespace anvilwalk
--- a/packages/process/include/anvilwalk/process.h
+++ b/packages/process/include/anvilwalk/process.h
@@ -15,12 +15,12 @@
 #include <anvilwalk/process/ObjectCodec.h>
 #include <anvilwalk/process/ObjectStore.h>
 #include <anvilwalk/process/OpeningObserver.h>
-#include <anvilwalk/process/PacketRouter.h>
 #include <anvilwalk/process/PauseDetector.h>
 #include <anvilwalk/process/PeerTransport.h>
 #include <anvilwalk/process/Publisher.h>
 #include <anvilwalk/process/RecordExchange.h>
 #include <anvilwalk/process/RelayCodec.h>
+#include <anvilwalk/process/RelayRouter.h>
 #include <anvilwalk/process/ReportFigures.h>
 #include <anvilwalk/process/ReportLayout.h>
 #include <anvilwalk/process/ResetBuilder.h>
--- a/packages/process/include/anvilwalk/process/PacketRouter.h
+++ b/packages/process/include/anvilwalk/process/RelayRouter.h
@@ -5,14 +5,10 @@
 
 namespace anvilwalk {
 
-// Decides what happens to a packet. The chosen design and the baselines implement it; implementations hold no
-// sockets and read no clock, and are safe for use by several threads.
-class PacketRouter {
+// A packet router whose balancers share state and relay packets to each other. The slot tables and the baselines
+// implement it. Safe for use by several threads.
+class RelayRouter : public PacketRouter {
 public:
-    virtual ~PacketRouter() = default;
-
-    // A packet from the fabric.
-    virtual Decision route(const PacketView&, MonotonicTime now) = 0;
     // A packet that another balancer relayed.
     virtual Decision routeRelayed(const RelayHeader&, const PacketView&, MonotonicTime now) = 0;
     // Puts a new state in force for the packets that follow.
--- a/packages/process/include/anvilwalk/process/SlotRouter.h
+++ b/packages/process/include/anvilwalk/process/SlotRouter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <anvilwalk/connection.h>
-#include <anvilwalk/process/PacketRouter.h>
+#include <anvilwalk/process/RelayRouter.h>
 #include <anvilwalk/process/RouterCounters.h>
 
 #include <atomic>
@@ -35,7 +35,7 @@
 
 // Packet decisions by slot tables. A stable slot is forwarded by the table; the packets of any other slot go
 // through the slot's owner, which keeps a record of each flow that its backup has confirmed.
-class SlotRouter final : public PacketRouter {
+class SlotRouter final : public RelayRouter {
 public:
     SlotRouter(const SlotRouterOptions&, std::shared_ptr<FlowTable>);
     ~SlotRouter() override;
--- a/packages/request/include/anvilwalk/request.h
+++ b/packages/request/include/anvilwalk/request.h
@@ -5,4 +5,5 @@
 #include <anvilwalk/request/Decision.h>
 #include <anvilwalk/request/DropReason.h>
 #include <anvilwalk/request/FlowKey.h>
+#include <anvilwalk/request/PacketRouter.h>
 #include <anvilwalk/request/PacketView.h>
--- a/packages/request/include/anvilwalk/request/Decision.h
+++ b/packages/request/include/anvilwalk/request/Decision.h
@@ -35,6 +35,9 @@
     TargetId target;
     Ipv4Endpoint tunnel;
     ServiceId service;
+    // Set by routers that use flow tokens: the token to write into the packet and the key the target's host checks.
+    FlowToken token {};
+    TargetKey targetKey {};
 };
 
 // Send the packet with the header to the relay endpoint of another balancer.
@@ -48,11 +51,16 @@
     ServiceId service;
 };
 
+// Tell the client that the flow has ended: its target is gone or its address is no longer served.
+struct ResetFlow {
+    DropReason reason = DropReason::NoTarget;
+};
+
 struct DropPacket {
     DropReason reason = DropReason::UnknownAddress;
 };
 
 // What happens to one packet.
-using Decision = std::variant<ForwardToTarget, RelayToBalancer, RefuseFlow, DropPacket>;
+using Decision = std::variant<ForwardToTarget, RelayToBalancer, RefuseFlow, ResetFlow, DropPacket>;
 
 } // namespace anvilwalk
--- a/packages/request/include/anvilwalk/request/DropReason.h
+++ b/packages/request/include/anvilwalk/request/DropReason.h
@@ -28,6 +28,12 @@
     NoOwner,
     // An opening packet that reuses the tuple of a closed flow whose target is leaving.
     ReusedTuple,
+    // A packet of an open flow carries no token.
+    NoToken,
+    // The token names no target that this balancer knows.
+    UnknownToken,
+    // The flow's target has ended.
+    TargetGone,
     Count,
 };
 
--- a/packages/request/src/DropReason.cpp
+++ b/packages/request/src/DropReason.cpp
@@ -24,6 +24,9 @@
         "too_many_relays",
         "no_owner",
         "reused_tuple",
+        "no_token",
+        "unknown_token",
+        "target_gone",
     };
     const auto index = static_cast<std::size_t>(reason);
     return index < names.size() ? names[index] : std::string_view("unknown");
--- a/packages/request/src/PacketView.cpp
+++ b/packages/request/src/PacketView.cpp
@@ -113,7 +113,7 @@
         .destinationPort = ports.destination,
         .protocol = static_cast<Protocol>(ip.protocol),
     };
-    return PacketView(bytes, key, ports.kind);
+    return PacketView(bytes, PacketFields { .key = key, .kind = ports.kind });
 }
 
 } // namespace anvilwalk
--- a/packages/version/src/TomlTableReader.h
+++ b/packages/toml/include/anvilwalk/toml/TomlTableReader.h
@@ -29,6 +29,8 @@
     // An integer in the range; anything else is a finding that names the example.
     std::optional<std::uint32_t> number(
         std::string_view key, std::uint32_t least, std::uint32_t most, const std::string& example);
+    // A number with or without a fraction in the range.
+    std::optional<double> decimal(std::string_view key, double least, double most, const std::string& example);
     std::optional<std::chrono::milliseconds> duration(
         std::string_view key, std::chrono::milliseconds least, std::chrono::milliseconds most);
 
--- a/packages/version/src/TomlTableReader.cpp
+++ b/packages/toml/src/TomlTableReader.cpp
@@ -1,6 +1,6 @@
-#include "TomlTableReader.h"
+#include <anvilwalk/toml/TomlTableReader.h>
 
-#include <anvilwalk/version.h>
+#include <anvilwalk/toml/Duration.h>
 
 #include <algorithm>
 #include <numeric>
@@ -159,6 +159,25 @@
     return static_cast<std::uint32_t>(value->get());
 }
 
+std::optional<double> TomlTableReader::decimal(
+    std::string_view key, double least, double most, const std::string& example)
+{
+    const toml::node* node = find(key);
+    if (node == nullptr)
+        return std::nullopt;
+    const std::string name(key);
+    if (!node->is_number()) {
+        add(*node, name + " is " + kindOf(*node) + " instead of a number", "write " + name + " = " + example);
+        return std::nullopt;
+    }
+    const double value = node->value<double>().value_or(0);
+    if (value < least || value > most) {
+        add(*node, name + " is out of range", "write a number like " + example);
+        return std::nullopt;
+    }
+    return value;
+}
+
 std::optional<std::chrono::milliseconds> TomlTableReader::duration(
     std::string_view key, std::chrono::milliseconds least, std::chrono::milliseconds most)
 {
--- a/packages/units/include/anvilwalk/units/Ids.h
+++ b/packages/units/include/anvilwalk/units/Ids.h
@@ -11,6 +11,11 @@
 using ServiceId = StrongId<struct ServiceIdTag, std::uint32_t>;
 // Number of a target within its data centre, never reused. 0 means none.
 using TargetId = StrongId<struct TargetIdTag, std::uint32_t>;
+// What the two ends of a flow carry in their packets so that every balancer finds the flow's target. Derived from the
+// target's TargetKey and start time, equal on all balancers. 0 means none.
+using FlowToken = StrongId<struct FlowTokenTag, std::uint32_t>;
+// Number under which a target's host accepts packets. 0 means any host.
+using TargetKey = StrongId<struct TargetKeyTag, std::uint64_t>;
 // Index of a slot in the table of a service.
 using SlotIndex = StrongId<struct SlotIndexTag, std::uint16_t>;
 // Version of a data centre's slot tables; rises by one with each write. 0 means no table.
--- a/packages/version/include/anvilwalk/version/ServiceFile.h
+++ b/packages/version/include/anvilwalk/version/ServiceFile.h
@@ -32,9 +32,4 @@
 // reported in one go; only a TOML syntax error hides the faults behind it in the same file.
 ServiceFileSet readServiceFiles(const std::vector<ServiceFileText>&);
 
-// Parses "300s", "250ms", "5m" or "8h"; nothing on any other text.
-std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
-// Writes a duration with the largest unit that keeps it exact.
-std::string formatDuration(std::chrono::milliseconds);
-
 } // namespace anvilwalk
--- a/tests/process/PacketWorkerTest.cpp
+++ b/tests/process/PacketWorkerTest.cpp
@@ -27,7 +27,7 @@
     .protocol = Protocol::Tcp };
 
 // Answers with what a test wants.
-class ScriptedRouter final : public PacketRouter {
+class ScriptedRouter final : public RelayRouter {
 public:
     Decision route(const PacketView& packet, MonotonicTime) override { return onPacket(packet); }
     Decision routeRelayed(const RelayHeader& header, const PacketView&, MonotonicTime) override
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -5,7 +5,7 @@
     g++ cmake ninja-build pkg-config ccache clang clang-format clang-tidy lld
     libclang-rt-14-dev libboost-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
     libabsl-dev prometheus-cpp-dev libopentracing-dev libtomlplusplus-dev libcxxopts-dev liblog4cplus-dev
-    libxxhash-dev libpcg-cpp-dev nlohmann-json3-dev catch2 libtrompeloeil-cpp-dev librapidcheck-dev
+    libxxhash-dev libpcg-cpp-dev nlohmann-json3-dev libfmt-dev catch2 libtrompeloeil-cpp-dev librapidcheck-dev
     libbenchmark-dev gnuplot-nox curl jq
 )
 missing=()
