discovery: list again after each watch that failed; tests of the new packages

The watch of the routes was cut after the store had dropped its history; the next watch continued from its old version, was not answered with 410 and heard nothing of the change that had been made while it was deaf, until its wait of 5 s ended. The watch of the targets got 410 in the same moment and listed. Ruled out: a silent connection (it was reset and reconnected within 0.2 s) and the length of the wait (a shorter one hides the miss, it does not end it). Change: any failed watch is followed by a list. Test: StoreFeed lists again after a watch that failed.

--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -39,8 +39,8 @@
     std::uint64_t seed = 0;
 };
 
-// Keeps a copy of one kind of entry current: lists all entries, then watches. Lists again when the store has dropped
-// the history it needs.
+// Keeps a copy of one kind of entry current: lists all entries, then watches. Lists again after each
+// watch that failed.
 class StoreFeed {
 public:
     StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&);
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -76,10 +76,9 @@
 {
     auto result = co_await m_reader.watch(m_version, m_options.watchWait);
     if (!isOk(result)) {
-        if (errorOf(result).code == ErrorCode::Gone) {
-            m_hasSnapshot = false;
-            co_return false;
-        }
+        // Changes may have been made while the watch was deaf, and the history of them dropped since; only a new list
+        // shows them for certain.
+        m_hasSnapshot = false;
         noteFailure(errorOf(result));
         co_return false;
     }
--- /dev/null
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -0,0 +1,140 @@
+#include <anvilwalk/discovery.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <variant>
+
+using namespace anvilwalk;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+const Error unavailable { .code = ErrorCode::Unavailable, .message = "refused" };
+const Error gone { .code = ErrorCode::Gone, .message = "history is gone" };
+
+StoreEntry entry(const std::string& name, std::uint64_t version)
+{
+    return { .name = name, .version = StoreVersion(version), .content = {}, .problem = {} };
+}
+
+// Gives the scripted answers one after the other and ends the run after the last.
+class ScriptedReader final : public StoreReader {
+public:
+    explicit ScriptedReader(asio::io_context& context)
+        : m_context(context)
+    {
+    }
+
+    asio::awaitable<Result<StorePage>> list(std::string after) override
+    {
+        calls.push_back("list " + after);
+        if (pages.empty()) {
+            m_context.stop();
+            co_return unavailable;
+        }
+        Result<StorePage> page = pages.front();
+        pages.pop_front();
+        co_return page;
+    }
+
+    asio::awaitable<Result<StoreChanges>> watch(StoreVersion from, std::chrono::milliseconds) override
+    {
+        calls.push_back("watch " + std::to_string(from.value()));
+        if (changes.empty()) {
+            m_context.stop();
+            co_return unavailable;
+        }
+        Result<StoreChanges> change = changes.front();
+        changes.pop_front();
+        co_return change;
+    }
+
+    std::deque<Result<StorePage>> pages;
+    std::deque<Result<StoreChanges>> changes;
+    std::vector<std::string> calls;
+
+private:
+    asio::io_context& m_context;
+};
+
+struct RecordingObserver final : StoreFeedObserver {
+    void onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion) override
+    {
+        snapshots.push_back(entries.size());
+    }
+    void onChanges(const std::vector<StoreEntry>& entries, StoreVersion) override { changes.push_back(entries.size()); }
+    void onContact() override { ++contacts; }
+    void onFailure(const Error&) override { ++failures; }
+
+    std::vector<std::size_t> snapshots;
+    std::vector<std::size_t> changes;
+    int contacts = 0;
+    int failures = 0;
+};
+
+struct Fixture {
+    asio::io_context context;
+    ScriptedReader reader { context };
+    RecordingObserver observer;
+
+    void run()
+    {
+        StoreFeed feed({ .changePause = 1ms, .retryPause = 1ms, .maxRetryPause = 2ms }, context, reader, observer);
+        asio::co_spawn(context, feed.run(), asio::detached);
+        context.run_for(5s);
+    }
+};
+
+} // namespace
+
+TEST_CASE("StoreFeed lists all pages and watches from the first page's version")
+{
+    Fixture fixture;
+    fixture.reader.pages.push_back(StorePage { .entries = { entry("a", 1), entry("b", 2) }, .more = true, .version = StoreVersion(5) });
+    fixture.reader.pages.push_back(StorePage { .entries = { entry("c", 6) }, .more = false, .version = StoreVersion(7) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = { entry("c", 6) }, .version = StoreVersion(8) });
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "list b", "watch 5", "watch 8" });
+    CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 3 });
+    CHECK(fixture.observer.changes == std::vector<std::size_t> { 1 });
+}
+
+// Guards against a view that stays behind after the store has dropped its history.
+TEST_CASE("StoreFeed lists again when the history is gone")
+{
+    Fixture fixture;
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
+    fixture.reader.pages.push_back(StorePage { .entries = { entry("a", 9) }, .more = false, .version = StoreVersion(20) });
+    fixture.reader.changes.push_back(gone);
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "watch 5", "list ", "watch 20" });
+    CHECK(fixture.observer.failures == 1);
+}
+
+// Guards against a change that was made while a watch was deaf: a watch that continues from before it may never hear of it
+// once the store has dropped its history.
+TEST_CASE("StoreFeed lists again after a watch that failed")
+{
+    Fixture fixture;
+    fixture.reader.pages.push_back(unavailable);
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(6) });
+    fixture.reader.changes.push_back(unavailable);
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "list ", "watch 5", "list ", "watch 6" });
+    CHECK(fixture.observer.contacts == 2);
+}
+
+// Guards against a stale answer that turns the watch back.
+TEST_CASE("StoreFeed never watches from an older version than before")
+{
+    Fixture fixture;
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(4) });
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "watch 9", "watch 9" });
+}
--- /dev/null
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -0,0 +1,69 @@
+#include <anvilwalk-edge/EdgeSettings.h>
+
+#include <catch2/catch.hpp>
+
+using namespace anvilwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string validText = R"([balancer]
+id = "front-lima-a-1"
+data_centre = "lima-a"
+[listen]
+packets = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+[store]
+address = "10.200.1.7:8169"
+[limits]
+memory_mb = 80
+[bounds]
+config_in_force_ms = 5000
+calm_window_ms = 4000
+stop_seconds = 2.5
+)";
+
+std::string replaced(const std::string& from, const std::string& to)
+{
+    std::string text = validText;
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+Findings findingsOf(const std::string& text)
+{
+    const auto result = parseEdgeSettings(text, "edge.toml");
+    REQUIRE(std::holds_alternative<Findings>(result));
+    return std::get<Findings>(result);
+}
+
+} // namespace
+
+TEST_CASE("parseEdgeSettings reads every key")
+{
+    const auto result = parseEdgeSettings(validText, "edge.toml");
+    REQUIRE(std::holds_alternative<EdgeSettings>(result));
+    const auto& settings = std::get<EdgeSettings>(result);
+    CHECK(settings.balancer == BalancerId("front-lima-a-1"));
+    CHECK(settings.dataCentre == DataCentreId("lima-a"));
+    CHECK(settings.packetAddress.toString() == "10.1.0.10:8172");
+    CHECK(settings.readyAddress.toString() == "10.1.0.10:8167");
+    CHECK(settings.storeAddress.toString() == "10.200.1.7:8169");
+    CHECK(settings.memoryMegabytes == 80);
+    CHECK(settings.configBound == 5000ms);
+    CHECK(settings.calmWindow == 4000ms);
+    CHECK(settings.stopDeadline == 2500ms);
+}
+
+TEST_CASE("parseEdgeSettings reports all faults together")
+{
+    std::string text = replaced("\"10.1.0.10:8167\"", "\"10.1.0.10\"");
+    text.replace(text.find("memory_mb = 80"), 14, "memory_mb = 2 ");
+    text += "colour = 1\n";
+    CHECK(findingsOf(text).all().size() == 3);
+    CHECK(findingsOf(replaced("[store]\naddress = \"10.200.1.7:8169\"\n", "")).all().size() == 1);
+    CHECK(findingsOf(replaced("id = \"front-lima-a-1\"", "id = \"\"")).all().size() == 1);
+    CHECK(findingsOf("[balancer\n").all().size() == 1);
+    CHECK(findingsOf("balancer = 3\n").all().size() == 5);
+}
--- /dev/null
+++ b/tests/placement/FlowTrackerTest.cpp
@@ -0,0 +1,94 @@
+#include <anvilwalk/placement.h>
+#include <fakes/PlacementScene.h>
+
+#include <catch2/catch.hpp>
+
+using namespace anvilwalk;
+using namespace anvilwalk::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TargetActivity& activity(PlacementScene& scene, std::uint64_t number)
+{
+    return scene.targets.find(tokenOfTarget(number))->activity;
+}
+
+} // namespace
+
+TEST_CASE("FlowTracker follows a flow from its opening packet to its end")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    const FlowKey key = flowKey(1);
+    scene.open(key);
+    CHECK(activity(scene, 1).openings == 1);
+    scene.sendData(key, tokenOfTarget(1));
+    CHECK(activity(scene, 1).openings == 0);
+    CHECK(activity(scene, 1).openFlows == 1);
+    CHECK(activity(scene, 1).requests == 1);
+    scene.clock.advance(40ms);
+    // The answer is acknowledged with the next request.
+    scene.sendData(key, tokenOfTarget(1), 1001);
+    CHECK(activity(scene, 1).responseTime == 40ms);
+    CHECK(activity(scene, 1).requests == 1);
+    scene.send({ .key = key, .kind = PacketKind::Closing, .token = tokenOfTarget(1), .acknowledgement = 2001 });
+    CHECK(activity(scene, 1).requests == 0);
+    CHECK(activity(scene, 1).openFlows == 0);
+    CHECK(scene.flows.size() == 0);
+}
+
+// Guards against counts that never fall because the end of a flow went through another balancer.
+TEST_CASE("FlowTracker forgets idle flows and overdue requests")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    const FlowKey key = flowKey(1);
+    scene.open(key);
+    scene.open(flowKey(2));
+    scene.sendData(key, tokenOfTarget(1));
+    scene.clock.advance(1600ms);
+    scene.flows.expire(scene.clock.now());
+    CHECK(activity(scene, 1).openings == 0);
+    scene.clock.advance(3400ms);
+    scene.flows.expire(scene.clock.now());
+    CHECK(activity(scene, 1).requests == 0);
+    CHECK(activity(scene, 1).openFlows == 1);
+    scene.clock.advance(10s);
+    scene.flows.expire(scene.clock.now());
+    CHECK(activity(scene, 1).openFlows == 0);
+}
+
+TEST_CASE("FlowTracker counts a flow that was opened through another balancer")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    scene.sendData(flowKey(1), tokenOfTarget(1));
+    CHECK(activity(scene, 1).openFlows == 1);
+    CHECK(activity(scene, 1).requests == 1);
+}
+
+// Guards against memory without bound under forged flows.
+TEST_CASE("FlowTracker tracks no more flows than its capacity")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    FlowTracker small({ .capacity = 10 }, scene.targets);
+    for (std::uint32_t number = 0; number < 100; ++number)
+        small.noteOpening(flowKey(number), tokenOfTarget(1), scene.clock.now());
+    CHECK(small.size() == 10);
+    CHECK(activity(scene, 1).openings == 10);
+}
+
+TEST_CASE("FlowTracker starts anew when a client uses a port again")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    const FlowKey key = flowKey(1);
+    scene.open(key);
+    scene.sendData(key, tokenOfTarget(1));
+    scene.open(key);
+    CHECK(activity(scene, 1).openFlows == 0);
+    CHECK(activity(scene, 1).requests == 0);
+    CHECK(activity(scene, 1).openings == 1);
+}
--- /dev/null
+++ b/tests/placement/TargetChooserTest.cpp
@@ -0,0 +1,120 @@
+#include <anvilwalk/placement.h>
+#include <fakes/PlacementScene.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace anvilwalk;
+using namespace anvilwalk::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::map<FlowToken, int> openFlows(PlacementScene& scene, std::uint32_t from, std::uint32_t count)
+{
+    std::map<FlowToken, int> counts;
+    for (std::uint32_t number = from; number < from + count; ++number) {
+        const auto token = scene.open(flowKey(number));
+        REQUIRE(token);
+        scene.sendData(flowKey(number), *token);
+        ++counts[*token];
+    }
+    return counts;
+}
+
+} // namespace
+
+// Load: many long flows that open one after the other and stay open.
+TEST_CASE("TargetChooser spreads long flows evenly over the targets")
+{
+    PlacementScene scene;
+    for (std::uint64_t number = 1; number <= 5; ++number)
+        scene.put(targetRecord(number));
+    const auto counts = openFlows(scene, 0, 100);
+    REQUIRE(counts.size() == 5);
+    for (const auto& [token, count] : counts)
+        CHECK(count == 20);
+}
+
+TEST_CASE("TargetChooser prefers targets of its own data centre until they are loaded")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    scene.put(targetRecord(2, boardService, "lima-b"));
+    CHECK(scene.open(flowKey(1)) == tokenOfTarget(1));
+    // With all requests of a long queue in progress here, the other data centre serves the next sooner.
+    const auto counts = openFlows(scene, 10, 40);
+    CHECK(counts.count(tokenOfTarget(2)) == 1);
+}
+
+// Load: a target stops answering, without any news of it.
+TEST_CASE("TargetChooser avoids a target that leaves opening packets unanswered, and tries it again")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    scene.put(targetRecord(2));
+    FlowKey unanswered;
+    for (std::uint32_t number = 1;; ++number) {
+        unanswered = flowKey(number);
+        const auto token = scene.open(unanswered);
+        if (token == tokenOfTarget(1))
+            break;
+        scene.sendData(unanswered, *token);
+    }
+    scene.clock.advance(200ms);
+    CHECK(scene.open(unanswered, 1) == tokenOfTarget(2));
+    for (std::uint32_t number = 100; number < 150; ++number)
+        CHECK(scene.open(flowKey(number)) == tokenOfTarget(2));
+    scene.clock.advance(5s);
+    scene.flows.expire(scene.clock.now());
+    const auto counts = openFlows(scene, 200, 20);
+    CHECK(counts.count(tokenOfTarget(1)) == 1);
+}
+
+TEST_CASE("TargetChooser uses a doubtful target when there is no other")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    const FlowKey key = flowKey(1);
+    CHECK(scene.open(key) == tokenOfTarget(1));
+    scene.clock.advance(200ms);
+    CHECK(scene.open(key, 1) == tokenOfTarget(1));
+    CHECK(scene.open(flowKey(2)) == tokenOfTarget(1));
+}
+
+// Load: one of several targets answers several times slower than the others.
+TEST_CASE("TargetChooser gives a slow target fewer flows")
+{
+    PlacementScene scene;
+    for (std::uint64_t number = 1; number <= 3; ++number)
+        scene.put(targetRecord(number));
+    std::map<FlowToken, int> counts;
+    for (std::uint32_t number = 0; number < 300; ++number) {
+        const FlowKey key = flowKey(number);
+        const auto token = scene.open(key);
+        REQUIRE(token);
+        ++counts[*token];
+        scene.sendData(key, *token);
+        scene.clock.advance(*token == tokenOfTarget(1) ? 200ms : 40ms);
+        scene.send({ .key = key, .kind = PacketKind::Closing, .token = *token, .acknowledgement = 500 });
+    }
+    const int fair = 100;
+    CHECK(counts[tokenOfTarget(1)] < fair / 2);
+    CHECK(counts[tokenOfTarget(1)] > 0);
+}
+
+// Load: a target has just started and is still slow while others are idle.
+TEST_CASE("TargetChooser prefers warm targets to a cold one")
+{
+    PlacementScene scene;
+    TargetRecord cold = targetRecord(1);
+    cold.coldRemaining = 2s;
+    scene.put(cold);
+    scene.put(targetRecord(2));
+    CHECK(scene.open(flowKey(1)) == tokenOfTarget(2));
+    scene.clock.advance(2s);
+    scene.flows.expire(scene.clock.now());
+    const auto counts = openFlows(scene, 10, 10);
+    CHECK(counts.count(tokenOfTarget(1)) == 1);
+}
--- /dev/null
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -0,0 +1,138 @@
+#include <platform/EntryDecoder.h>
+
+#include <catch2/catch.hpp>
+
+using namespace anvilwalk;
+using namespace anvilwalk::platform;
+using nlohmann::json;
+
+namespace {
+
+json targetObject()
+{
+    return json::parse(R"({
+        "meta": {"name": "i-7f3a91c2aa", "revision": 12, "created_rev": 3, "finalizers": [], "deleting": false},
+        "spec": {"service": "huvo11a", "address": "10.128.0.9:8080", "zone": "lima-a", "version": "v1", "slots": 3,
+            "state": "ready", "cold_remaining_ms": 1500, "sequence": 4, "born": 1789936067018},
+        "status": null})");
+}
+
+json routesObject()
+{
+    return json::parse(R"({
+        "meta": {"name": "main", "revision": 9},
+        "spec": {"version": 7, "routes": [
+            {"name": "r-1", "host": "198.18.0.1", "path_prefix": "/8443/", "route_type": "safe",
+             "split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]},
+            {"name": "r-2", "host": "198.18.0.2", "path_prefix": "/8443/", "route_type": "upload", "service": "b"}],
+          "services": [], "limits": {"idle_timeout_ms": 15000}}})");
+}
+
+StoreEntry decodeTarget(const json& object)
+{
+    auto entry = decodeTargetObject(object);
+    REQUIRE(isOk(entry));
+    return valueOf(entry);
+}
+
+void checkUnusable(const json& object)
+{
+    const StoreEntry entry = decodeTarget(object);
+    CHECK(std::holds_alternative<std::monostate>(entry.content));
+    CHECK_FALSE(entry.problem.empty());
+}
+
+} // namespace
+
+TEST_CASE("decodeTargetObject reads what a host says of itself")
+{
+    const StoreEntry entry = decodeTarget(targetObject());
+    CHECK(entry.name == "i-7f3a91c2aa");
+    CHECK(entry.version == StoreVersion(12));
+    const auto& record = std::get<TargetRecord>(entry.content);
+    CHECK(record.key == TargetKey(0x7f3a91c2aa));
+    CHECK(record.startedMs == 1789936067018);
+    CHECK(record.service == ServiceName("huvo11a"));
+    CHECK(record.address.toString() == "10.128.0.9:8080");
+    CHECK(record.dataCentre == DataCentreId("lima-a"));
+    CHECK(record.slots == 3);
+    CHECK(record.state == TargetState::Ready);
+    CHECK(record.coldRemaining == std::chrono::milliseconds(1500));
+}
+
+// Guards against traffic to an entry that another writer left in the store.
+TEST_CASE("decodeTargetObject names no target for an entry of another writer")
+{
+    for (const char* name : { "service", "address", "zone", "slots", "state", "cold_remaining_ms", "sequence", "born" }) {
+        json missing = targetObject();
+        missing["spec"].erase(name);
+        checkUnusable(missing);
+        json otherType = targetObject();
+        otherType["spec"][name] = json::array({ 1 });
+        checkUnusable(otherType);
+    }
+    for (const auto& [name, value] : json {
+             { "state", "retired" }, { "address", "10.0.0.1" }, { "slots", 0 }, { "slots", -1 }, { "born", 1.5 } }
+             .items()) {
+        json changed = targetObject();
+        changed["spec"][name] = value;
+        checkUnusable(changed);
+    }
+    json noSpec = targetObject();
+    noSpec["spec"] = nullptr;
+    checkUnusable(noSpec);
+    json badName = targetObject();
+    badName["meta"]["name"] = "leader";
+    checkUnusable(badName);
+}
+
+TEST_CASE("decodeTargetObject refuses an object without name or revision")
+{
+    CHECK_FALSE(isOk(decodeTargetObject(json(3))));
+    CHECK_FALSE(isOk(decodeTargetObject(json::object())));
+    json object = targetObject();
+    object["meta"].erase("revision");
+    CHECK_FALSE(isOk(decodeTargetObject(object)));
+}
+
+TEST_CASE("parseTargetKey takes the hexadecimal number of an id")
+{
+    CHECK(valueOf(parseTargetKey("i-8b2856c436")) == TargetKey(0x8b2856c436));
+    CHECK(valueOf(parseTargetKey("ffffffffffffffff")) == TargetKey(0xffffffffffffffff));
+    for (const char* id : { "", "i-", "i-xyz", "i-12 ", "i-10000000000000000", "i-0" })
+        CHECK_FALSE(isOk(parseTargetKey(id)));
+}
+
+TEST_CASE("decodeRoutesObject reads routes with one or several services")
+{
+    const auto entry = decodeRoutesObject(routesObject());
+    REQUIRE(isOk(entry));
+    const auto& table = std::get<RouteTablePointer>(valueOf(entry).content);
+    CHECK(table->version() == ConfigVersion(7));
+    CHECK(table->idleTimeout() == std::chrono::seconds(15));
+    REQUIRE(table->routes().size() == 2);
+    const Route* split = table->find({ .address = *Ipv4Address::parse("198.18.0.1"), .port = 8443 });
+    REQUIRE(split != nullptr);
+    REQUIRE(split->services.size() == 2);
+    CHECK(split->services[0].weight == 90);
+    const Route* single = table->find({ .address = *Ipv4Address::parse("198.18.0.2"), .port = 8443 });
+    REQUIRE(single != nullptr);
+    CHECK(single->services.front().service == ServiceName("b"));
+    CHECK(table->find({ .address = *Ipv4Address::parse("198.18.0.2"), .port = 443 }) == nullptr);
+}
+
+// Guards against half a configuration in force.
+TEST_CASE("decodeRoutesObject refuses a configuration with an unreadable route")
+{
+    for (const char* prefix : { "8443", "/8443", "/", "//", "/0/", "/99999/", "/84 43/", "/a/" }) {
+        json object = routesObject();
+        object["spec"]["routes"][1]["path_prefix"] = prefix;
+        const auto entry = decodeRoutesObject(object);
+        REQUIRE(isOk(entry));
+        CHECK(std::holds_alternative<std::monostate>(valueOf(entry).content));
+        CHECK_FALSE(valueOf(entry).problem.empty());
+    }
+    json other = routesObject();
+    other["meta"]["name"] = "draft";
+    CHECK(std::holds_alternative<std::monostate>(valueOf(decodeRoutesObject(other)).content));
+}
--- /dev/null
+++ b/tests/platform/ObjectApiReaderTest.cpp
@@ -0,0 +1,113 @@
+#include <fakes/ScriptedHttpServer.h>
+#include <platform/ObjectApiReader.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace anvilwalk;
+using namespace anvilwalk::platform;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+std::string answer(const std::string& status, const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+// Runs one call to its end.
+template <class Value> Result<Value> complete(asio::io_context& context, asio::awaitable<Result<Value>> call)
+{
+    std::optional<Result<Value>> outcome;
+    asio::co_spawn(context, std::move(call), [&](const std::exception_ptr& thrown, Result<Value> result) {
+        REQUIRE_FALSE(thrown);
+        outcome = std::move(result);
+    });
+    context.restart();
+    context.run();
+    REQUIRE(outcome);
+    return *outcome;
+}
+
+struct Fixture {
+    explicit Fixture(std::vector<std::string> answers)
+        : server(std::move(answers))
+        , reader({ .store = server.endpoint(),
+                     .kind = targetsKind,
+                     .decode = &decodeTargetObject,
+                     .callTimeout = 300ms },
+              context)
+    {
+    }
+
+    fakes::ScriptedHttpServer server;
+    asio::io_context context;
+    ObjectApiReader reader;
+};
+
+const std::string targetText = R"({"meta":{"name":"i-1a","revision":5},"spec":{"service":"s","address":"10.0.0.1:80",
+    "zone":"a","version":"v","slots":3,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":7}})";
+
+} // namespace
+
+TEST_CASE("ObjectApiReader reads a page and asks for the next")
+{
+    Fixture fixture({ answer("200 OK", R"({"items":[)" + targetText + R"(],"more":true,"as_of":8})"),
+        answer("200 OK", R"({"items":[],"more":false,"as_of":9})") });
+    const auto page = complete(fixture.context, fixture.reader.list(""));
+    REQUIRE(isOk(page));
+    CHECK(valueOf(page).entries.size() == 1);
+    CHECK(valueOf(page).more);
+    CHECK(valueOf(page).version == StoreVersion(8));
+    complete(fixture.context, fixture.reader.list("i-1a"));
+    CHECK(fixture.server.requests().at(0).find("GET /api/objects/servers HTTP/1.1") == 0);
+}
+
+TEST_CASE("ObjectApiReader reads changes, removals included")
+{
+    Fixture fixture(
+        { answer("200 OK", R"({"events":[{"deleted":true,"object":)" + targetText + R"(}],"as_of":11})") });
+    const auto changes = complete(fixture.context, fixture.reader.watch(StoreVersion(8), 100ms));
+    REQUIRE(isOk(changes));
+    REQUIRE(valueOf(changes).entries.size() == 1);
+    CHECK(valueOf(changes).entries[0].removed);
+    CHECK(valueOf(changes).version == StoreVersion(11));
+    CHECK(fixture.server.requests().at(0).find("GET /api/objects/servers?watch=8&wait_ms=100 ") == 0);
+}
+
+TEST_CASE("ObjectApiReader tells a dropped history from other refusals")
+{
+    Fixture gone({ answer("410 Gone", "{}") });
+    CHECK(errorOf(complete(gone.context, gone.reader.watch(StoreVersion(8), 1ms))).code == ErrorCode::Gone);
+    for (const char* status : { "429 Too Many Requests", "503 Service Unavailable", "404 Not Found" }) {
+        Fixture refused({ answer(status, "{}") });
+        CHECK(errorOf(complete(refused.context, refused.reader.list(""))).code == ErrorCode::Unavailable);
+    }
+}
+
+// Guards against a view that is emptied or half filled by an answer that cannot be read.
+TEST_CASE("ObjectApiReader gives an error for an answer that it cannot read")
+{
+    for (const char* body : { "", "{", "[]", "{}", R"({"items":3,"more":false,"as_of":1})",
+             R"({"items":[],"more":"no","as_of":1})", R"({"items":[],"more":false,"as_of":"x"})" }) {
+        Fixture fixture({ answer("200 OK", body) });
+        CHECK_FALSE(isOk(complete(fixture.context, fixture.reader.list(""))));
+    }
+    Fixture cut({ "" });
+    CHECK_FALSE(isOk(complete(cut.context, cut.reader.list(""))));
+}
+
+// Guards against a watch that waits without end on a connection that has gone silent.
+TEST_CASE("ObjectApiReader ends a call that gets no answer")
+{
+    Fixture fixture({ "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n" });
+    fixture.server.holdLast();
+    const auto before = std::chrono::steady_clock::now();
+    CHECK_FALSE(isOk(complete(fixture.context, fixture.reader.watch(StoreVersion(1), 100ms))));
+    CHECK(std::chrono::steady_clock::now() - before >= 400ms);
+    CHECK(std::chrono::steady_clock::now() - before < 5s);
+}
--- /dev/null
+++ b/tests/platform/PacketCodecTest.cpp
@@ -0,0 +1,130 @@
+#include <platform/PacketCodec.h>
+#include <platform/TokenPacketFormat.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace anvilwalk;
+using namespace anvilwalk::platform;
+
+namespace {
+
+// The platform's example: an opening packet from 100.64.0.7:40001 to 198.18.0.1:443, sequence 0x11223344.
+const std::vector<std::uint8_t> openingExample { 0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0x9c, 0x41,
+    0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x40, 0x00, 0x00, 0x00, 0x00,
+    0x00 };
+const std::vector<std::uint8_t> resetExample { 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0x01, 0xbb,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x10, 0x00, 0x00, 0x00, 0x00,
+    0x00 };
+
+constexpr std::size_t lengthAt = 12;
+constexpr std::size_t acknowledgementAt = 22;
+constexpr std::size_t flagsAt = 26;
+constexpr std::size_t tokenAt = 28;
+
+DropReason reasonOf(const std::vector<std::uint8_t>& bytes)
+{
+    const auto result = parsePacket(bytes);
+    REQUIRE(std::holds_alternative<DropReason>(result));
+    return std::get<DropReason>(result);
+}
+
+} // namespace
+
+TEST_CASE("parsePacket reads the platform's example")
+{
+    const auto result = parsePacket(openingExample);
+    REQUIRE(std::holds_alternative<PacketView>(result));
+    const PacketFields& fields = std::get<PacketView>(result).fields();
+    CHECK(fields.key.source.toString() == "100.64.0.7");
+    CHECK(fields.key.sourcePort == 40001);
+    CHECK(fields.key.destination.toString() == "198.18.0.1");
+    CHECK(fields.key.destinationPort == 443);
+    CHECK(fields.kind == PacketKind::Opening);
+    CHECK(fields.sequence == 0x11223344);
+    CHECK(fields.openingCopy == 0);
+    CHECK(fields.token == FlowToken());
+}
+
+TEST_CASE("makeReset writes the platform's example")
+{
+    const auto result = parsePacket(openingExample);
+    const ResetPacket reset = makeReset(std::get<PacketView>(result).fields());
+    CHECK(std::vector<std::uint8_t>(reset.begin(), reset.end()) == resetExample);
+}
+
+// Clients ignore a reset whose sequence is far from what they last acknowledged.
+TEST_CASE("makeReset continues from the client's acknowledgement")
+{
+    std::vector<std::uint8_t> bytes = openingExample;
+    bytes[flagsAt] = 8;
+    bytes[acknowledgementAt] = 0x12;
+    bytes[acknowledgementAt + 3] = 0x34;
+    const auto result = parsePacket(bytes);
+    const ResetPacket reset = makeReset(std::get<PacketView>(result).fields());
+    CHECK(reset[18] == 0x12);
+    CHECK(reset[21] == 0x34);
+}
+
+TEST_CASE("parsePacket tells copies of an opening packet from acknowledgements")
+{
+    std::vector<std::uint8_t> bytes = openingExample;
+    bytes[acknowledgementAt + 3] = 2;
+    CHECK(std::get<PacketView>(parsePacket(bytes)).fields().openingCopy == 2);
+    bytes[flagsAt] = 8;
+    const auto data = parsePacket(bytes);
+    CHECK(std::get<PacketView>(data).fields().openingCopy == 0);
+    CHECK(std::get<PacketView>(data).fields().acknowledgement == 2);
+}
+
+TEST_CASE("parsePacket refuses malformed packets by reason")
+{
+    CHECK(reasonOf({}) == DropReason::Truncated);
+    CHECK(reasonOf(std::vector<std::uint8_t>(31)) == DropReason::Truncated);
+    std::vector<std::uint8_t> longer = openingExample;
+    longer.push_back(0);
+    CHECK(reasonOf(longer) == DropReason::BadLength);
+    std::vector<std::uint8_t> shorter = openingExample;
+    shorter[lengthAt + 1] = 1;
+    CHECK(reasonOf(shorter) == DropReason::Truncated);
+    std::vector<std::uint8_t> oversized(headerBytes + 1201);
+    oversized[lengthAt] = 0x04;
+    oversized[lengthAt + 1] = 0xb1;
+    CHECK(reasonOf(oversized) == DropReason::BadLength);
+    // Only targets send SYN with ACK, and they answer clients directly.
+    std::vector<std::uint8_t> forged = openingExample;
+    forged[flagsAt] = 64 | 8;
+    CHECK(reasonOf(forged) == DropReason::UnsupportedProtocol);
+}
+
+// Guards against a packet that is changed on its way beyond its token.
+TEST_CASE("TokenPacketFormat changes nothing but the token and writes the target's key before the packet")
+{
+    const TokenPacketFormat format;
+    std::vector<std::uint8_t> datagram(targetPrefixBytes, 0xee);
+    datagram.insert(datagram.end(), openingExample.begin(), openingExample.end());
+    const ForwardToTarget forward { .target = {},
+        .tunnel = {},
+        .service = {},
+        .token = FlowToken(0x01020304),
+        .targetKey = TargetKey(0x8b2856c436) };
+    format.prepareForTarget(datagram, forward);
+    const std::vector<std::uint8_t> prefix { 0, 0, 0, 0x8b, 0x28, 0x56, 0xc4, 0x36 };
+    CHECK(std::vector<std::uint8_t>(datagram.begin(), datagram.begin() + targetPrefixBytes) == prefix);
+    std::vector<std::uint8_t> expected = openingExample;
+    expected[tokenAt] = 1;
+    expected[tokenAt + 1] = 2;
+    expected[tokenAt + 2] = 3;
+    expected[tokenAt + 3] = 4;
+    CHECK(std::vector<std::uint8_t>(datagram.begin() + targetPrefixBytes, datagram.end()) == expected);
+}
+
+TEST_CASE("parsePacket reads any bytes without fault")
+{
+    CHECK(rc::check("any bytes", [](const std::vector<std::uint8_t>& bytes) {
+        const auto result = parsePacket(bytes);
+        if (const auto* view = std::get_if<PacketView>(&result))
+            RC_ASSERT(bytes.size() == headerBytes + view->fields().payloadBytes);
+    }));
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -8,6 +8,7 @@
 else
     mapfile -t files < <(git ls-files --cached --others --exclude-standard \
         'packages/*.h' 'packages/*.cpp' 'apps/*.h' 'apps/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.h' 'bench/*.cpp' \
+        'platform/*.h' 'platform/*.cpp' \
         | grep -v '/generated/')
 fi
 clang-format --dry-run --Werror "${files[@]}"
