--- a/apps/anvilwalk-edge/PacketLoop.cpp
+++ b/apps/anvilwalk-edge/PacketLoop.cpp
@@ -86,8 +86,8 @@
     if (!error)
         m_socket.set_option(asio::socket_base::receive_buffer_size(m_options.receiveBufferBytes), error);
     if (!error)
-        m_socket.bind(udp::endpoint(asio::ip::address_v4(m_options.address.address.value), m_options.address.port),
-            error);
+        m_socket.bind(
+            udp::endpoint(asio::ip::address_v4(m_options.address.address.value), m_options.address.port), error);
     if (!error)
         m_socket.non_blocking(true, error);
     if (error)
@@ -109,8 +109,8 @@
 
 bool PacketLoop::handleBatch()
 {
-    const int count = ::recvmmsg(
-        m_socket.native_handle(), m_batch->receiveHeaders.data(), batchPackets, MSG_DONTWAIT, nullptr);
+    const int count
+        = ::recvmmsg(m_socket.native_handle(), m_batch->receiveHeaders.data(), batchPackets, MSG_DONTWAIT, nullptr);
     if (count <= 0)
         return false;
     const MonotonicTime now = m_clock.now();
@@ -139,8 +139,7 @@
         m_batch->addOutgoing(datagram, forward->tunnel);
     } else if (std::holds_alternative<ResetFlow>(decision) || std::holds_alternative<RefuseFlow>(decision)) {
         const std::size_t resetBytes = m_format.writeReset(packet.fields(), space);
-        m_batch->addOutgoing(
-            space.first(resetBytes), { .address = packet.key().source, .port = m_options.clientPort });
+        m_batch->addOutgoing(space.first(resetBytes), { .address = packet.key().source, .port = m_options.clientPort });
     }
 }
 
--- a/apps/anvilwalk-edge/ReadyServer.cpp
+++ b/apps/anvilwalk-edge/ReadyServer.cpp
@@ -31,8 +31,7 @@
 
 } // namespace
 
-ReadyServer::ReadyServer(
-    const ReadyServerOptions& options, asio::io_context& context, std::function<bool()> isReady)
+ReadyServer::ReadyServer(const ReadyServerOptions& options, asio::io_context& context, std::function<bool()> isReady)
     : m_options(options)
     , m_context(context)
     , m_acceptor(context)
@@ -80,8 +79,7 @@
         co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return;
-        http::response<http::empty_body> response(
-            statusOf(request, m_options.path, m_isReady()), request.version());
+        http::response<http::empty_body> response(statusOf(request, m_options.path, m_isReady()), request.version());
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
--- a/apps/anvilwalk-edge/main.cpp
+++ b/apps/anvilwalk-edge/main.cpp
@@ -32,8 +32,10 @@
     logOptions.balancer = settings.balancer.value();
     EventLog log(logOptions, writer, clock);
     boost::asio::io_context context(1);
-    platform::ObjectApiReader targets(
-        { .store = settings.storeAddress, .kind = platform::targetsKind, .decode = &platform::decodeTargetObject },
+    platform::ObjectApiReader targets({ .store = settings.storeAddress,
+                                          .kind = platform::targetsKind,
+                                          .decode = &platform::decodeTargetObject,
+                                          .staleWatches = true },
         context);
     platform::ObjectApiReader routes(
         { .store = settings.storeAddress, .kind = platform::routesKind, .decode = &platform::decodeRoutesObject },
@@ -62,9 +64,9 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("anvilwalk-edge", "Balances flows whose packets carry the token of their target.");
-    options.add_options()("settings", "settings file (default: the file named by ANVILWALK_CONFIG)",
-        cxxopts::value<std::string>())("check", "check the settings and exit")("version", "print the version")(
-        "help", "print this help");
+    options.add_options()(
+        "settings", "settings file (default: the file named by ANVILWALK_CONFIG)", cxxopts::value<std::string>())(
+        "check", "check the settings and exit")("version", "print the version")("help", "print this help");
     std::string path;
     bool checkOnly = false;
     try {
--- a/apps/anvilwalk/ReportCommands.cpp
+++ b/apps/anvilwalk/ReportCommands.cpp
@@ -3,6 +3,7 @@
 #include "SystemReader.h"
 
 #include <anvilwalk/process/objectapi/HttpObjectStore.h>
+#include <anvilwalk/toml.h>
 
 #include <iostream>
 #include <thread>
--- a/apps/anvilwalk/main.cpp
+++ b/apps/anvilwalk/main.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 
+#include <anvilwalk/toml.h>
 #include <anvilwalk/version.h>
 
 #include <cstdlib>
--- a/packages/discovery/include/anvilwalk/discovery/StoreReader.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreReader.h
@@ -17,6 +17,7 @@
 
 // One entry of the store, or news of one.
 struct StoreEntry {
+    // Empty if not even the name can be read.
     std::string name;
     StoreVersion version;
     // The entry is no longer there. The version is that of its last content.
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -33,6 +33,20 @@
 
 StoreFeed::~StoreFeed() = default;
 
+namespace {
+
+    // The last name that could be read; empty if there is none.
+    std::string lastName(const std::vector<StoreEntry>& entries)
+    {
+        for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+            if (!entry->name.empty())
+                return entry->name;
+        }
+        return {};
+    }
+
+} // namespace
+
 asio::awaitable<void> StoreFeed::run()
 {
     for (;;) {
@@ -50,9 +64,9 @@
 {
     std::vector<StoreEntry> entries;
     StoreVersion version;
+    std::string after;
     bool more = true;
     while (more) {
-        const std::string after = entries.empty() ? std::string() : entries.back().name;
         auto result = co_await m_reader.list(after);
         if (!isOk(result)) {
             noteFailure(errorOf(result));
@@ -62,7 +76,10 @@
         // Later pages are newer; watching from the first one's version misses nothing.
         if (version == StoreVersion())
             version = page.version;
-        more = page.more && !page.entries.empty();
+        const std::string last = lastName(page.entries);
+        // A page that leads no further would be asked for again without end.
+        more = page.more && last > after;
+        after = last;
         std::move(page.entries.begin(), page.entries.end(), std::back_inserter(entries));
     }
     noteSuccess();
--- a/packages/eventlog/include/anvilwalk/eventlog/EventLog.h
+++ b/packages/eventlog/include/anvilwalk/eventlog/EventLog.h
@@ -51,7 +51,7 @@
     void begin(EventKind, std::string_view event);
     void add(std::string_view name, std::string_view value);
     template <class Number>
-        requires std::is_arithmetic_v<Number>
+    requires std::is_arithmetic_v<Number>
     void add(std::string_view name, Number value)
     {
         fmt::format_to(std::back_inserter(m_line), ",\"{}\":{}", name, value);
--- a/packages/eventlog/src/EventLog.cpp
+++ b/packages/eventlog/src/EventLog.cpp
@@ -48,8 +48,7 @@
 bool EventLog::admits(EventKind kind)
 {
     Budget& budget = m_budgets[static_cast<std::size_t>(kind)];
-    const auto second
-        = std::chrono::duration_cast<std::chrono::seconds>(m_clock.now().time_since_epoch()).count();
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(m_clock.now().time_since_epoch()).count();
     if (budget.second != second) {
         budget.second = second;
         budget.used = 0;
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -85,7 +85,11 @@
     // At this version the store held exactly these entries: removes the rest.
     void retainOnly(const std::vector<std::string>& names, StoreVersion, MonotonicTime now);
     // Calls to the store failed or got no answer; removals that follow may be lapses.
-    void noteStoreOutage(MonotonicTime now) { m_lastOutage = now; m_hadOutage = true; }
+    void noteStoreOutage(MonotonicTime now)
+    {
+        m_lastOutage = now;
+        m_hadOutage = true;
+    }
     // Ends the grace of missing targets and forgets gone ones.
     void expire(MonotonicTime now);
 
--- a/tests/version/ServiceFileTest.cpp
+++ b/tests/version/ServiceFileTest.cpp
@@ -1,3 +1,4 @@
+#include <anvilwalk/toml.h>
 #include <anvilwalk/version.h>
 #include <fakes/TestSeed.h>
 
