edge: log each decision with its inputs, serve metrics, explain a request from logs

Balancers write one JSON line for each placement, request, refusal and change of a target, with the flow, the inputs of the decision and version and age of the view, within a budget a second for each kind; what is left out is counted and said. Metrics are served on port 9464.

Tests: full pipe, budgets, each line, the story over several balancers. The test of an empty id found that it matched every flow; the hint for an unknown settings key named each key twice.

--- /dev/null
+++ b/apps/anvilwalk-edge/DecisionLog.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "PacketFormat.h"
+#include "PacketLoop.h"
+#include "ResponseHistogram.h"
+#include "ViewKeeper.h"
+
+#include <anvilwalk/eventlog.h>
+#include <anvilwalk/placement.h>
+
+#include <string>
+
+namespace anvilwalk {
+
+// Logs what is decided for flows and believed of targets, with the inputs of each decision. A line of kind "request"
+// leads from a request's id to its flow.
+class DecisionLog final : public PlacementObserver, public ForwardObserver {
+public:
+    DecisionLog(EventLog&, const PacketFormat&);
+
+    // The view whose version and age are logged with each decision.
+    void setView(const ViewKeeper& view) { m_view = &view; }
+
+    void onPlaced(const PlacementNote&) override;
+    void onRefused(const RefusalNote&) override;
+    void onDoubted(const Target&, const FlowKey&) override;
+    void onTrusted(const Target&) override;
+    void onAbsent(const Target&) override;
+    void onResponse(const Target&, Duration) override;
+    void onForwarded(const PacketView&, const ForwardToTarget&) override;
+
+    const ResponseHistogram& responses() const { return m_responses; }
+
+private:
+    void addFlow(const FlowKey&);
+    void addView();
+
+    EventLog& m_log;
+    const PacketFormat& m_format;
+    const ViewKeeper* m_view = nullptr;
+    ResponseHistogram m_responses;
+};
+
+// "100.64.0.7:40001>198.18.0.1:443": how log lines name a flow.
+std::string flowName(const FlowKey&);
+
+} // namespace anvilwalk
--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -1,5 +1,7 @@
 #include "EdgeBalancer.h"
 
+#include "EdgeMetrics.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,6 +15,7 @@
 
     namespace asio = boost::asio;
 
+    constexpr std::string_view metricsPath = "/metrics";
     // Pause between two passes over flows, targets and tokens.
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
     // The fabric asks twice a second and takes a balancer out after two misses.
@@ -43,24 +46,39 @@
 } // namespace
 
 EdgeBalancer::EdgeBalancer(const EdgeSettings& settings, asio::io_context& context, const EdgePlatform& platform,
-    EventLog& log, const Clock& clock)
+    EventLog& log, const LineWriter& logWriter, const Clock& clock)
     : m_settings(settings)
     , m_context(context)
     , m_log(log)
+    , m_logWriter(logWriter)
     , m_clock(clock)
-    , m_targets(TargetCatalogueOptions {})
-    , m_flows(FlowTrackerOptions {}, m_targets)
+    , m_decisions(log, platform.packets)
+    , m_targets(TargetCatalogueOptions {}, m_decisions)
+    , m_flows(FlowTrackerOptions {}, m_targets, m_decisions)
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
-    , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser)
+    , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
     , m_view(m_targets, m_router, log, clock)
     , m_packets({ .address = settings.packetAddress, .clientPort = settings.packetAddress.port }, context,
-          platform.packets, m_router, clock)
-    , m_readyServer(
-          { .address = settings.readyAddress, .path = platform.readyPath }, context, [this] { return isReady(); })
+          platform.packets, m_router, m_decisions, clock)
+    , m_readyServer({ .address = settings.readyAddress }, context,
+          [this, path = platform.readyPath](std::string_view asked) -> std::optional<HttpReply> {
+              if (asked != path)
+                  return std::nullopt;
+              constexpr unsigned ready = 200;
+              constexpr unsigned notReady = 503;
+              return HttpReply { .status = isReady() ? ready : notReady };
+          })
+    , m_metricsServer({ .address = settings.metricsAddress }, context,
+          [this](std::string_view asked) -> std::optional<HttpReply> {
+              if (asked != metricsPath)
+                  return std::nullopt;
+              return HttpReply { .body = currentMetrics() };
+          })
     , m_targetFeed(feedOptions(settings, "targets"), context, platform.targets, m_view.targetObserver())
     , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver())
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
+    m_decisions.setView(m_view);
 }
 
 Status EdgeBalancer::start()
@@ -70,6 +88,12 @@
         status = m_readyServer.open();
     if (!isOk(status))
         return status;
+    // Packets are served without metrics rather than not at all.
+    const Status metrics = m_metricsServer.open();
+    if (isOk(metrics))
+        asio::co_spawn(m_context, m_metricsServer.run(), asio::detached);
+    else
+        m_log.write(EventKind::Process, "no_metrics", logField("error", std::string_view(errorOf(metrics).message)));
     asio::co_spawn(m_context, m_packets.run(), asio::detached);
     asio::co_spawn(m_context, m_readyServer.run(), asio::detached);
     asio::co_spawn(m_context, m_targetFeed.run(), asio::detached);
@@ -79,6 +103,19 @@
     return status;
 }
 
+std::string EdgeBalancer::currentMetrics() const
+{
+    return renderMetrics({ .router = m_router.counters(),
+        .packets = m_packets.counters(),
+        .responses = m_decisions.responses(),
+        .targets = m_targets.size(),
+        .trackedFlows = m_flows.size(),
+        .configVersion = m_router.routes() ? m_router.routes()->version().value() : 0,
+        .targetsAge = m_view.targetsAge(),
+        .routesAge = m_view.routesAge(),
+        .logLinesLost = m_logWriter.linesLost() });
+}
+
 asio::awaitable<void> EdgeBalancer::keepHouse()
 {
     asio::steady_timer timer(m_context);
--- a/apps/anvilwalk-edge/EdgeBalancer.h
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "DecisionLog.h"
+#include "EdgeHttpServer.h"
 #include "EdgeSettings.h"
 #include "PacketFormat.h"
 #include "PacketLoop.h"
-#include "ReadyServer.h"
 #include "ViewKeeper.h"
 
 #include <anvilwalk/discovery.h>
@@ -29,7 +30,8 @@
 // One balancer process: forwards packets by flow tokens and keeps its view of targets and routes current.
 class EdgeBalancer {
 public:
-    EdgeBalancer(const EdgeSettings&, boost::asio::io_context&, const EdgePlatform&, EventLog&, const Clock&);
+    EdgeBalancer(
+        const EdgeSettings&, boost::asio::io_context&, const EdgePlatform&, EventLog&, const LineWriter&, const Clock&);
 
     // Opens the sockets and starts all tasks.
     Status start();
@@ -41,18 +43,22 @@
     boost::asio::awaitable<void> handleSignals();
     boost::asio::awaitable<void> stop();
     bool isReady() const { return !m_stopping && m_view.isComplete(); }
+    std::string currentMetrics() const;
 
     EdgeSettings m_settings;
     boost::asio::io_context& m_context;
     EventLog& m_log;
+    const LineWriter& m_logWriter;
     const Clock& m_clock;
+    DecisionLog m_decisions;
     TargetCatalogue m_targets;
     FlowTracker m_flows;
     TargetChooser m_chooser;
     TokenRouter m_router;
     ViewKeeper m_view;
     PacketLoop m_packets;
-    ReadyServer m_readyServer;
+    EdgeHttpServer m_readyServer;
+    EdgeHttpServer m_metricsServer;
     StoreFeed m_targetFeed;
     StoreFeed m_routeFeed;
     boost::asio::signal_set m_signals;
--- a/apps/anvilwalk-edge/ReadyServer.cpp
+++ b/apps/anvilwalk-edge/EdgeHttpServer.cpp
@@ -1,4 +1,4 @@
-#include "ReadyServer.h"
+#include "EdgeHttpServer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,26 +20,33 @@
     // A prober's request is a few lines.
     constexpr std::uint32_t maxHeaderBytes = 8192;
 
-    http::status statusOf(const http::request<http::empty_body>& request, const std::string& path, bool ready)
+    http::response<http::string_body> makeResponse(
+        const http::request<http::empty_body>& request, const EdgeHttpServer::Handler& handler)
     {
-        if (request.target() != path)
-            return http::status::not_found;
-        if (request.method() != http::verb::get)
-            return http::status::method_not_allowed;
-        return ready ? http::status::ok : http::status::service_unavailable;
+        http::response<http::string_body> response(http::status::not_found, request.version());
+        if (request.method() != http::verb::get) {
+            response.result(http::status::method_not_allowed);
+        } else if (auto reply = handler({ request.target().data(), request.target().size() })) {
+            response.result(reply->status);
+            response.set(http::field::content_type, "text/plain; version=0.0.4");
+            response.body() = std::move(reply->body);
+        }
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        return response;
     }
 
 } // namespace
 
-ReadyServer::ReadyServer(const ReadyServerOptions& options, asio::io_context& context, std::function<bool()> isReady)
+EdgeHttpServer::EdgeHttpServer(const EdgeHttpServerOptions& options, asio::io_context& context, Handler handler)
     : m_options(options)
     , m_context(context)
     , m_acceptor(context)
-    , m_isReady(std::move(isReady))
+    , m_handler(std::move(handler))
 {
 }
 
-Status ReadyServer::open()
+Status EdgeHttpServer::open()
 {
     const tcp::endpoint endpoint(asio::ip::address_v4(m_options.address.address.value), m_options.address.port);
     boost::system::error_code error;
@@ -56,7 +63,7 @@
     return std::monostate {};
 }
 
-asio::awaitable<void> ReadyServer::run()
+asio::awaitable<void> EdgeHttpServer::run()
 {
     for (;;) {
         boost::system::error_code error;
@@ -68,7 +75,7 @@
     }
 }
 
-asio::awaitable<void> ReadyServer::serve(tcp::socket socket)
+asio::awaitable<void> EdgeHttpServer::serve(tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(maxHeaderBytes);
@@ -79,9 +86,7 @@
         co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return;
-        http::response<http::empty_body> response(statusOf(request, m_options.path, m_isReady()), request.version());
-        response.keep_alive(request.keep_alive());
-        response.prepare_payload();
+        const http::response<http::string_body> response = makeResponse(request, m_handler);
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
         if (error || !response.keep_alive())
             co_return;
--- a/apps/anvilwalk-edge/ReadyServer.h
+++ b/apps/anvilwalk-edge/EdgeHttpServer.h
@@ -7,21 +7,31 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace anvilwalk {
 
-struct ReadyServerOptions {
+struct HttpReply {
+    // HTTP status code.
+    unsigned status = 200;
+    std::string body {};
+};
+
+struct EdgeHttpServerOptions {
     Ipv4Endpoint address;
-    // Path that tells whether this balancer takes packets.
-    std::string path;
     // A connection without a request for this long is closed.
     std::chrono::seconds idleTimeout { 30 };
 };
 
-// Answers the fabric's question whether this balancer takes packets.
-class ReadyServer {
+// Answers GET requests of probers and monitoring.
+class EdgeHttpServer {
 public:
-    ReadyServer(const ReadyServerOptions&, boost::asio::io_context&, std::function<bool()> isReady);
+    // The reply to a path; nothing if there is no such path.
+    using Handler = std::function<std::optional<HttpReply>(std::string_view path)>;
+
+    EdgeHttpServer(const EdgeHttpServerOptions&, boost::asio::io_context&, Handler);
 
     Status open();
     boost::asio::awaitable<void> run();
@@ -29,10 +39,10 @@
 private:
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket);
 
-    ReadyServerOptions m_options;
+    EdgeHttpServerOptions m_options;
     boost::asio::io_context& m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::function<bool()> m_isReady;
+    Handler m_handler;
 };
 
 } // namespace anvilwalk
--- /dev/null
+++ b/apps/anvilwalk-edge/EdgeMetrics.cpp
@@ -0,0 +1,109 @@
+#include "EdgeMetrics.h"
+
+#include <chrono>
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+#include <utility>
+#include <vector>
+
+namespace anvilwalk {
+
+namespace {
+
+    using prometheus::ClientMetric;
+    using prometheus::MetricFamily;
+    using prometheus::MetricType;
+
+    MetricFamily makeFamily(const char* name, const char* help, MetricType type)
+    {
+        MetricFamily family;
+        family.name = std::string("anvilwalk_edge_") + name;
+        family.help = help;
+        family.type = type;
+        return family;
+    }
+
+    ClientMetric makeMetric(MetricType type, double value)
+    {
+        ClientMetric metric;
+        if (type == MetricType::Counter)
+            metric.counter.value = value;
+        else
+            metric.gauge.value = value;
+        return metric;
+    }
+
+    MetricFamily single(const char* name, const char* help, MetricType type, double value)
+    {
+        MetricFamily family = makeFamily(name, help, type);
+        family.metric.push_back(makeMetric(type, value));
+        return family;
+    }
+
+    MetricFamily counter(const char* name, const char* help, std::uint64_t value)
+    {
+        return single(name, help, MetricType::Counter, static_cast<double>(value));
+    }
+
+    MetricFamily gauge(const char* name, const char* help, double value)
+    {
+        return single(name, help, MetricType::Gauge, value);
+    }
+
+    MetricFamily byReason(const char* name, const char* help, const std::array<std::uint64_t, dropReasonCount>& counts)
+    {
+        MetricFamily family = makeFamily(name, help, MetricType::Counter);
+        for (std::size_t index = 0; index < counts.size(); ++index) {
+            if (counts[index] == 0)
+                continue;
+            ClientMetric metric = makeMetric(MetricType::Counter, static_cast<double>(counts[index]));
+            metric.label.push_back({ "reason", std::string(toString(static_cast<DropReason>(index))) });
+            family.metric.push_back(std::move(metric));
+        }
+        return family;
+    }
+
+    MetricFamily responseTimes(const ResponseHistogram& histogram)
+    {
+        MetricFamily family = makeFamily("response_seconds",
+            "Time from a request to the acknowledged answer, as seen by this balancer.", MetricType::Histogram);
+        ClientMetric metric;
+        std::uint64_t cumulative = 0;
+        for (std::size_t index = 0; index < ResponseHistogram::bounds.size(); ++index) {
+            cumulative += histogram.counts()[index];
+            metric.histogram.bucket.push_back(
+                { .cumulative_count = cumulative, .upper_bound = ResponseHistogram::bounds[index] });
+        }
+        metric.histogram.sample_count = cumulative + histogram.counts().back();
+        metric.histogram.sample_sum = histogram.sumSeconds();
+        family.metric.push_back(std::move(metric));
+        return family;
+    }
+
+    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+std::string renderMetrics(const EdgeMetricsSample& sample)
+{
+    const std::vector<MetricFamily> families {
+        counter("packets_received_total", "Packets received.", sample.packets.received),
+        counter("packets_sent_total", "Packets sent to targets and clients.", sample.packets.sent),
+        counter("packets_malformed_total", "Packets that are not valid.", sample.packets.malformed),
+        counter("send_failures_total", "Packets that the system did not take.", sample.packets.sendFailures),
+        counter("openings_total", "Opening packets sent to a target, copies included.", sample.router.opened),
+        counter("opening_copies_total", "Copies of opening packets received.", sample.router.reopened),
+        byReason("resets_total", "Resets sent to clients by reason.", sample.router.resets),
+        byReason("drops_total", "Packets dropped by reason.", sample.router.drops),
+        responseTimes(sample.responses),
+        gauge("targets", "Targets known, those that ended lately included.", static_cast<double>(sample.targets)),
+        gauge("tracked_flows", "Flows followed for choices.", static_cast<double>(sample.trackedFlows)),
+        gauge("config_version", "Version of the routes in force.", static_cast<double>(sample.configVersion)),
+        gauge("targets_age_seconds", "Time since the store's last answer about targets.", toSeconds(sample.targetsAge)),
+        gauge("routes_age_seconds", "Time since the store's last answer about routes.", toSeconds(sample.routesAge)),
+        counter("log_lines_lost_total", "Log lines that found no room.", sample.logLinesLost),
+    };
+    return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace anvilwalk
--- a/apps/anvilwalk-edge/EdgeSettings.cpp
+++ b/apps/anvilwalk-edge/EdgeSettings.cpp
@@ -94,6 +94,7 @@
         {
             m_settings.packetAddress = readEndpoint(section, "packets");
             m_settings.readyAddress = readEndpoint(section, "ready");
+            m_settings.metricsAddress = readEndpoint(section, "metrics");
         }
 
         void readStore(TomlTableReader& section) { m_settings.storeAddress = readEndpoint(section, "address"); }
--- a/apps/anvilwalk-edge/EdgeSettings.h
+++ b/apps/anvilwalk-edge/EdgeSettings.h
@@ -17,6 +17,7 @@
     // Receives packets; clients receive resets at the same port.
     Ipv4Endpoint packetAddress;
     Ipv4Endpoint readyAddress;
+    Ipv4Endpoint metricsAddress;
     Ipv4Endpoint storeAddress;
     std::uint32_t memoryMegabytes = 256;
     // Time within which a configuration must be in force.
--- a/apps/anvilwalk-edge/PacketFormat.h
+++ b/apps/anvilwalk-edge/PacketFormat.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 #include <variant>
 
 namespace anvilwalk {
@@ -21,6 +22,8 @@
     virtual std::size_t headroomBytes() const = 0;
     // Reads one packet.
     virtual std::variant<PacketView, DropReason> parse(std::span<const std::uint8_t>) const = 0;
+    // Id of the request that starts in a packet's payload; empty if none does or its format has none.
+    virtual std::string_view requestId(const PacketView&) const = 0;
     // Makes a received packet ready for its target. The span starts with the headroom.
     virtual void prepareForTarget(std::span<std::uint8_t> datagram, const ForwardToTarget&) const = 0;
     // Writes a reset that answers a client's packet; returns its size. The span holds maxPacketBytes.
--- a/apps/anvilwalk-edge/PacketLoop.cpp
+++ b/apps/anvilwalk-edge/PacketLoop.cpp
@@ -60,10 +60,11 @@
 };
 
 PacketLoop::PacketLoop(const PacketLoopOptions& options, asio::io_context& context, const PacketFormat& format,
-    PacketRouter& router, const Clock& clock)
+    PacketRouter& router, ForwardObserver& observer, const Clock& clock)
     : m_options(options)
     , m_format(format)
     , m_router(router)
+    , m_observer(observer)
     , m_clock(clock)
     , m_socket(context)
     // One byte more than the largest packet shows that a longer one was cut.
@@ -135,6 +136,7 @@
     const Decision decision = m_router.route(packet, now);
     if (const auto* forward = std::get_if<ForwardToTarget>(&decision)) {
         const auto datagram = space.first(headroom + size);
+        m_observer.onForwarded(packet, *forward);
         m_format.prepareForTarget(datagram, *forward);
         m_batch->addOutgoing(datagram, forward->tunnel);
     } else if (std::holds_alternative<ResetFlow>(decision) || std::holds_alternative<RefuseFlow>(decision)) {
--- a/apps/anvilwalk-edge/PacketLoop.h
+++ b/apps/anvilwalk-edge/PacketLoop.h
@@ -28,10 +28,18 @@
     std::uint64_t malformed = 0;
 };
 
+// Told of each packet that is sent to a target.
+class ForwardObserver {
+public:
+    virtual ~ForwardObserver() = default;
+    virtual void onForwarded(const PacketView&, const ForwardToTarget&) = 0;
+};
+
 // Receives packets, has the router decide, and sends them on.
 class PacketLoop {
 public:
-    PacketLoop(const PacketLoopOptions&, boost::asio::io_context&, const PacketFormat&, PacketRouter&, const Clock&);
+    PacketLoop(const PacketLoopOptions&, boost::asio::io_context&, const PacketFormat&, PacketRouter&, ForwardObserver&,
+        const Clock&);
     ~PacketLoop();
     PacketLoop(const PacketLoop&) = delete;
     PacketLoop& operator=(const PacketLoop&) = delete;
@@ -56,6 +64,7 @@
     PacketLoopOptions m_options;
     const PacketFormat& m_format;
     PacketRouter& m_router;
+    ForwardObserver& m_observer;
     const Clock& m_clock;
     boost::asio::ip::udp::socket m_socket;
     std::unique_ptr<Batch> m_batch;
--- a/apps/anvilwalk-edge/ViewKeeper.cpp
+++ b/apps/anvilwalk-edge/ViewKeeper.cpp
@@ -1,5 +1,7 @@
 #include "ViewKeeper.h"
 
+#include <algorithm>
+
 namespace anvilwalk {
 
 ViewKeeper::ViewKeeper(TargetCatalogue& targets, TokenRouter& router, EventLog& log, const Clock& clock)
@@ -19,6 +21,12 @@
     m_keeper.updateCurrency();
 }
 
+void ViewKeeper::FeedObserver::onAnswer(StoreVersion version)
+{
+    answeredVersion = std::max(answeredVersion, version);
+    answeredAt = m_keeper.m_clock.now();
+}
+
 void ViewKeeper::FeedObserver::onFailure(const Error& error)
 {
     inContact = false;
@@ -56,9 +64,6 @@
     if (removed.empty())
         return;
     m_keeper.m_targets.remove(removed, now);
-    for (const RemovedEntry& entry : removed)
-        m_keeper.m_log.write(EventKind::Target, "entry_removed", logField("target", std::string_view(entry.name)),
-            logField("version", entry.version.value()));
 }
 
 void ViewKeeper::RouteObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
--- a/apps/anvilwalk-edge/ViewKeeper.h
+++ b/apps/anvilwalk-edge/ViewKeeper.h
@@ -18,6 +18,11 @@
     // Targets and routes have been read once.
     bool isComplete() const { return m_targetObserver.hasSnapshot && m_router.routes() != nullptr; }
 
+    // Version of the store at the last answer about targets, and how long ago that was.
+    StoreVersion targetsVersion() const { return m_targetObserver.answeredVersion; }
+    Duration targetsAge() const { return m_clock.now() - m_targetObserver.answeredAt; }
+    Duration routesAge() const { return m_clock.now() - m_routeObserver.answeredAt; }
+
 private:
     // What both feeds have in common.
     class FeedObserver : public StoreFeedObserver {
@@ -28,10 +33,14 @@
         {
         }
         void onContact() override;
+        void onAnswer(StoreVersion) override;
         void onFailure(const Error&) override;
 
         bool hasSnapshot = false;
         bool inContact = false;
+        // Version and time of the last answer.
+        StoreVersion answeredVersion;
+        MonotonicTime answeredAt;
 
     protected:
         ViewKeeper& m_keeper;
--- a/apps/anvilwalk-edge/main.cpp
+++ b/apps/anvilwalk-edge/main.cpp
@@ -42,7 +42,8 @@
         context);
     const platform::TokenPacketFormat packets;
     EdgeBalancer balancer(settings, context,
-        { .packets = packets, .targets = targets, .routes = routes, .readyPath = platform::readyPath }, log, clock);
+        { .packets = packets, .targets = targets, .routes = routes, .readyPath = platform::readyPath }, log, writer,
+        clock);
     balancer.onReload([&] {
         const auto reread = loadEdgeSettings(settingsPath);
         const bool valid = std::holds_alternative<EdgeSettings>(reread);
@@ -94,7 +95,7 @@
     }
     const auto settings = loadEdgeSettings(path);
     if (const auto* findings = std::get_if<Findings>(&settings)) {
-        std::cerr << findings->toString() << "\n";
+        std::cerr << findings->toString();
         return Usage;
     }
     if (checkOnly)
--- a/apps/anvilwalk/Commands.h
+++ b/apps/anvilwalk/Commands.h
@@ -25,5 +25,7 @@
 ExitCode runPublish(const CommandOptions&);
 ExitCode runStatus(const CommandOptions&);
 ExitCode runReport(const CommandOptions&);
+// The first path is the id, the others are log files.
+ExitCode runExplain(const CommandOptions&);
 
 } // namespace anvilwalk
--- a/apps/anvilwalk/ExitCode.h
+++ b/apps/anvilwalk/ExitCode.h
@@ -2,7 +2,7 @@
 
 namespace anvilwalk {
 
-// Exit codes of the anvilwalk command; documented in its help and in docs/operations.md.
+// Exit codes of the anvilwalk command; documented in its help and in docs/OPERATIONS.md.
 enum class ExitCode {
     Success = 0,
     // Service files have faults, or the publish would break a rule.
@@ -18,7 +18,7 @@
     Overtaken = 6,
     // Accepted, but not seen in force on every balancer in time.
     NotYetInForce = 7,
-    // Printed, but parts are missing or old.
+    // Printed, but parts are missing or old; or nothing was found to print.
     Incomplete = 8,
     StoreUnavailable = 9,
 };
--- /dev/null
+++ b/apps/anvilwalk/ExplainCommand.cpp
@@ -0,0 +1,48 @@
+#include "Commands.h"
+
+#include <anvilwalk/eventlog.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace anvilwalk {
+
+namespace {
+
+    bool readFiles(LogStoryReader& reader, const CommandOptions& options)
+    {
+        for (auto path = options.paths.begin() + 1; path != options.paths.end(); ++path) {
+            if (*path == "-") {
+                reader.read(std::cin);
+                continue;
+            }
+            std::ifstream file(*path);
+            if (!file) {
+                std::cerr << "Cannot read " << *path << ".\n";
+                return false;
+            }
+            reader.read(file);
+        }
+        return true;
+    }
+
+} // namespace
+
+ExitCode runExplain(const CommandOptions& options)
+{
+    if (options.paths.size() < 2) {
+        std::cerr << "Name an id and at least one log file: anvilwalk explain ID FILE...\n";
+        return ExitCode::Usage;
+    }
+    LogStoryReader reader(options.paths.front());
+    if (!readFiles(reader, options))
+        return ExitCode::Usage;
+    const LogStory story = reader.finish();
+    for (const LogEvent& event : story.events)
+        std::cout << event.timeMs << " " << event.balancer << " " << event.line << "\n";
+    std::cerr << story.events.size() << " lines, " << story.flows.size() << " flows, " << story.targets.size()
+              << " targets; " << story.badLines << " other lines passed over.\n";
+    return story.events.empty() ? ExitCode::Incomplete : ExitCode::Success;
+}
+
+} // namespace anvilwalk
--- a/apps/anvilwalk/main.cpp
+++ b/apps/anvilwalk/main.cpp
@@ -21,6 +21,7 @@
   anvilwalk publish DIR...    put the services that the files describe in force
   anvilwalk status            show which version is in force where, and what is missing
   anvilwalk report            show flows, refusals, drops and imbalance of every service
+  anvilwalk explain ID FILE.. print what logs of anvilwalk-edge say of a request or flow, in order of time
 
 DIR is a service file or a folder that is searched for files named anvilwalk.toml or NAME.anvilwalk.toml.
 Run anvilwalk COMMAND --help for the options of a command.
@@ -39,7 +40,7 @@
   5  it is not known whether the change is in force
   6  the change was in force and has been changed again by another publish
   7  accepted, but not seen in force on every balancer in time (--wait)
-  8  printed, but parts are missing or old (status, report)
+  8  printed, but parts are missing or old (status, report); nothing found (explain)
   9  the platform could not be read (status, report)
 )";
 
@@ -59,6 +60,7 @@
         { "publish", { "Puts the services that the files describe in force.", true, true, runPublish } },
         { "status", { "Shows which version is in force where, and what is missing.", false, true, runStatus } },
         { "report", { "Shows the figures of every service (docs/report.md).", false, true, runReport } },
+        { "explain", { "Prints what logs say of a request or flow, in order of time.", true, false, runExplain } },
     };
     return entries;
 }
@@ -78,9 +80,11 @@
     auto add = options.add_options();
     add("help", "show this help");
     if (entry.takesPaths) {
-        add("paths", "service files or folders", cxxopts::value<std::vector<std::string>>());
+        const bool explains = name == "explain";
+        add("paths", explains ? "an id, then log files (- for standard input)" : "service files or folders",
+            cxxopts::value<std::vector<std::string>>());
         options.parse_positional("paths");
-        options.positional_help("DIR...");
+        options.positional_help(explains ? "ID FILE..." : "DIR...");
     }
     if (entry.takesPlatform)
         add("platform", "URL of the platform's object API, http://ADDRESS:PORT (default: $ANVILWALK_PLATFORM)",
@@ -119,7 +123,9 @@
     CommandOptions options;
     if (entry.takesPaths) {
         if (result.count("paths") == 0) {
-            std::cerr << "Name at least one service file or folder: anvilwalk " << name << " DIR...\n";
+            std::cerr << (name == "explain"
+                    ? "Name an id and log files: anvilwalk explain ID FILE...\n"
+                    : "Name at least one service file or folder: anvilwalk " + name + " DIR...\n");
             return std::nullopt;
         }
         options.paths = result["paths"].as<std::vector<std::string>>();
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -24,6 +24,8 @@
     virtual void onChanges(const std::vector<StoreEntry>&, StoreVersion) = 0;
     // The store answered a call after it had not, or for the first time.
     virtual void onContact() = 0;
+    // The store answered a call; its version then. Called before what the answer brings.
+    virtual void onAnswer(StoreVersion) = 0;
     // A call failed. Called for each failure.
     virtual void onFailure(const Error&) = 0;
 };
@@ -57,7 +59,7 @@
     boost::asio::awaitable<bool> takeSnapshot();
     boost::asio::awaitable<bool> takeChanges();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds);
-    void noteSuccess();
+    void noteSuccess(StoreVersion);
     void noteFailure(const Error&);
     std::chrono::milliseconds nextRetryPause();
 
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -82,7 +82,7 @@
         after = last;
         std::move(page.entries.begin(), page.entries.end(), std::back_inserter(entries));
     }
-    noteSuccess();
+    noteSuccess(version);
     m_version = std::max(m_version, version);
     m_hasSnapshot = true;
     m_observer.onSnapshot(entries, version);
@@ -99,8 +99,8 @@
         noteFailure(errorOf(result));
         co_return false;
     }
-    noteSuccess();
     const StoreChanges& changes = valueOf(result);
+    noteSuccess(changes.version);
     m_version = std::max(m_version, changes.version);
     if (changes.entries.empty())
         co_return true;
@@ -116,12 +116,12 @@
     co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
 }
 
-void StoreFeed::noteSuccess()
+void StoreFeed::noteSuccess(StoreVersion version)
 {
     m_retryPause = m_options.retryPause;
-    if (std::exchange(m_inContact, true))
-        return;
-    m_observer.onContact();
+    m_observer.onAnswer(version);
+    if (!std::exchange(m_inContact, true))
+        m_observer.onContact();
 }
 
 void StoreFeed::noteFailure(const Error& error)
--- a/packages/eventlog/include/anvilwalk/eventlog/EventLog.h
+++ b/packages/eventlog/include/anvilwalk/eventlog/EventLog.h
@@ -23,6 +23,8 @@
     Target,
     // A target was chosen for a flow, or another one for a copy of its opening packet.
     Placement,
+    // A request's first packet was forwarded.
+    Request,
     // A flow was refused or reset, or packets of it were dropped.
     Refusal,
     Count,
@@ -34,7 +36,7 @@
 
 struct EventLogOptions {
     // Lines of one kind in one second; the rest is counted and reported with the next line of the kind.
-    std::array<std::uint32_t, eventKindCount> linesPerSecond { 50, 20, 20, 100, 50, 50 };
+    std::array<std::uint32_t, eventKindCount> linesPerSecond { 50, 20, 20, 100, 100, 100, 50 };
     // Written into each line.
     std::string_view balancer;
 };
--- a/packages/eventlog/src/EventLog.cpp
+++ b/packages/eventlog/src/EventLog.cpp
@@ -34,7 +34,7 @@
 std::string_view toString(EventKind kind)
 {
     static constexpr std::array<std::string_view, eventKindCount> names { "process", "store", "routes", "target",
-        "placement", "refusal" };
+        "placement", "request", "refusal" };
     return names[static_cast<std::size_t>(kind)];
 }
 
--- /dev/null
+++ b/packages/eventlog/src/LogStory.cpp
@@ -0,0 +1,127 @@
+#include <anvilwalk/eventlog/LogStory.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace anvilwalk {
+
+namespace {
+
+    using nlohmann::json;
+
+    // Changes of a target this long before and after the flow's own lines belong to its story.
+    constexpr std::int64_t targetMarginMs = 5'000;
+
+    // The text of a field; empty if it is absent or no text.
+    std::string textOf(const json& event, const char* name)
+    {
+        const auto field = event.find(name);
+        return field != event.end() && field->is_string() ? field->get<std::string>() : std::string();
+    }
+
+    bool isEvent(const json& value)
+    {
+        if (!value.is_object())
+            return false;
+        const auto time = value.find("time_ms");
+        return time != value.end() && time->is_number_integer() && !textOf(value, "kind").empty();
+    }
+
+    struct FlowLines {
+        std::set<std::string> flows {};
+        std::set<std::string> targets {};
+        std::int64_t firstMs = 0;
+        std::int64_t lastMs = 0;
+        // Whether the event of each index belongs to the story.
+        std::vector<bool> chosen {};
+    };
+
+    std::set<std::string> flowsOf(const std::vector<json>& events, const std::string& id)
+    {
+        std::set<std::string> flows;
+        if (id.empty())
+            return flows;
+        for (const json& event : events) {
+            if (textOf(event, "request") == id || textOf(event, "flow") == id)
+                flows.insert(textOf(event, "flow"));
+        }
+        flows.erase("");
+        return flows;
+    }
+
+    FlowLines chooseFlowLines(const std::vector<json>& events, const std::string& id)
+    {
+        FlowLines result { .flows = flowsOf(events, id), .chosen = std::vector<bool>(events.size()) };
+        bool first = true;
+        for (std::size_t index = 0; index < events.size(); ++index) {
+            if (!result.flows.contains(textOf(events[index], "flow")))
+                continue;
+            result.chosen[index] = true;
+            const std::string target = textOf(events[index], "target");
+            if (!target.empty())
+                result.targets.insert(target);
+            const std::int64_t time = events[index]["time_ms"].get<std::int64_t>();
+            result.firstMs = first ? time : std::min(result.firstMs, time);
+            result.lastMs = first ? time : std::max(result.lastMs, time);
+            first = false;
+        }
+        return result;
+    }
+
+    void chooseTargetLines(const std::vector<json>& events, FlowLines& lines)
+    {
+        for (std::size_t index = 0; index < events.size(); ++index) {
+            const std::int64_t time = events[index]["time_ms"].get<std::int64_t>();
+            if (time < lines.firstMs - targetMarginMs || time > lines.lastMs + targetMarginMs)
+                continue;
+            if (textOf(events[index], "kind") == "target" && lines.targets.contains(textOf(events[index], "target")))
+                lines.chosen[index] = true;
+        }
+    }
+
+} // namespace
+
+void LogStoryReader::read(std::istream& input)
+{
+    std::string line;
+    while (std::getline(input, line)) {
+        const std::size_t brace = line.find('{');
+        if (brace == std::string::npos) {
+            if (!line.empty())
+                ++m_badLines;
+            continue;
+        }
+        const json event = json::parse(line.begin() + static_cast<std::ptrdiff_t>(brace), line.end(), nullptr, false);
+        if (!isEvent(event)) {
+            ++m_badLines;
+            continue;
+        }
+        m_events.push_back({ .timeMs = event["time_ms"].get<std::int64_t>(),
+            .balancer = textOf(event, "balancer"),
+            .line = line.substr(brace) });
+    }
+}
+
+LogStory LogStoryReader::finish()
+{
+    std::vector<json> parsed;
+    parsed.reserve(m_events.size());
+    for (const LogEvent& event : m_events)
+        parsed.push_back(json::parse(event.line));
+    FlowLines lines = chooseFlowLines(parsed, m_id);
+    chooseTargetLines(parsed, lines);
+    LogStory story { .flows = { lines.flows.begin(), lines.flows.end() },
+        .targets = { lines.targets.begin(), lines.targets.end() },
+        .badLines = m_badLines };
+    for (std::size_t index = 0; index < m_events.size(); ++index) {
+        if (lines.chosen[index])
+            story.events.push_back(m_events[index]);
+    }
+    std::stable_sort(story.events.begin(), story.events.end(),
+        [](const LogEvent& a, const LogEvent& b) { return a.timeMs < b.timeMs; });
+    return story;
+}
+
+} // namespace anvilwalk
--- a/packages/placement/include/anvilwalk/placement/FlowTracker.h
+++ b/packages/placement/include/anvilwalk/placement/FlowTracker.h
@@ -37,7 +37,7 @@
 // use it: a flow that is not tracked is forwarded all the same.
 class FlowTracker {
 public:
-    FlowTracker(const FlowTrackerOptions&, TargetCatalogue&);
+    FlowTracker(const FlowTrackerOptions&, TargetCatalogue&, PlacementObserver& = PlacementObserver::none());
 
     // The targets tried for a flow that is not open yet.
     TriedTargets triedTargets(const FlowKey&) const;
@@ -72,11 +72,13 @@
     };
 
     void open(Flow&, Target&, MonotonicTime now);
+    void addSample(Target&, Duration, MonotonicTime now);
     void startRequest(Flow&, Target&, const PacketFields&, MonotonicTime now);
     void endRequest(Flow&, Target*);
     void release(Flow&);
     TargetActivity* activityOf(FlowToken);
 
+    PlacementObserver& m_observer;
     FlowTrackerOptions m_options;
     TargetCatalogue& m_targets;
     absl::flat_hash_map<FlowKey, Flow, KeyHash> m_flows;
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/Target.h>
 #include <anvilwalk/units.h>
 
@@ -74,7 +75,7 @@
 // The targets of all services, as the platform's store lists them, and those that ended a short while ago.
 class TargetCatalogue {
 public:
-    explicit TargetCatalogue(const TargetCatalogueOptions&);
+    explicit TargetCatalogue(const TargetCatalogueOptions&, PlacementObserver& = PlacementObserver::none());
 
     // Adds or changes a target. An older version than the known one changes nothing.
     void put(const TargetRecord&, StoreVersion, MonotonicTime now);
@@ -106,6 +107,7 @@
     void rebuildServices();
 
     TargetCatalogueOptions m_options;
+    PlacementObserver& m_observer;
     // The newest run of each name.
     absl::flat_hash_map<std::string, std::unique_ptr<Target>> m_byName;
     // Runs that ended although their name is in use again.
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -31,7 +31,8 @@
 // without state of the flow; only opening packets are placed. Not safe for use by several threads.
 class TokenRouter final : public PacketRouter {
 public:
-    TokenRouter(const TokenRouterOptions&, TargetCatalogue&, FlowTracker&, TargetChooser&);
+    TokenRouter(const TokenRouterOptions&, TargetCatalogue&, FlowTracker&, TargetChooser&,
+        PlacementObserver& = PlacementObserver::none());
 
     // Puts routes in force. An older version than the one in force changes nothing.
     void setRoutes(RouteTablePointer);
@@ -48,12 +49,13 @@
     Decision routeOpen(const PacketFields&, MonotonicTime now);
     Decision routeUnknownToken(const PacketFields&, MonotonicTime now);
     Decision reset(const PacketFields&, DropReason);
-    Decision drop(DropReason);
+    Decision drop(const PacketFields&, DropReason);
 
     TokenRouterOptions m_options;
     TargetCatalogue& m_targets;
     FlowTracker& m_flows;
     TargetChooser& m_chooser;
+    PlacementObserver& m_observer;
     RouteTablePointer m_routes;
     bool m_viewCurrent = false;
     // First packet with a token that names no known target.
--- a/packages/placement/src/FlowTracker.cpp
+++ b/packages/placement/src/FlowTracker.cpp
@@ -1,6 +1,7 @@
 #include <anvilwalk/placement/FlowTracker.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace anvilwalk {
 
@@ -18,15 +19,6 @@
             --count;
     }
 
-    void addSample(TargetActivity& activity, Duration sample, MonotonicTime now)
-    {
-        if (activity.responseTime == Duration::zero())
-            activity.responseTime = sample;
-        else
-            activity.responseTime += (sample - activity.responseTime) / responseSmoothing;
-        activity.lastResponse = now;
-    }
-
 } // namespace
 
 bool TriedTargets::contains(FlowToken token) const
@@ -40,8 +32,9 @@
         tokens[count++] = token;
 }
 
-FlowTracker::FlowTracker(const FlowTrackerOptions& options, TargetCatalogue& targets)
-    : m_options(options)
+FlowTracker::FlowTracker(const FlowTrackerOptions& options, TargetCatalogue& targets, PlacementObserver& observer)
+    : m_observer(observer)
+    , m_options(options)
     , m_targets(targets)
 {
 }
@@ -57,10 +50,13 @@
     const auto found = m_flows.find(key);
     if (found == m_flows.end() || found->second.open)
         return;
-    if (TargetActivity* activity = activityOf(found->second.token)) {
-        ++activity->unanswered;
-        activity->lastUnanswered = now;
-    }
+    Target* target = m_targets.find(found->second.token);
+    if (target == nullptr)
+        return;
+    TargetActivity& activity = target->activity;
+    activity.lastUnanswered = now;
+    if (++activity.unanswered == 1)
+        m_observer.onDoubted(*target, key);
 }
 
 void FlowTracker::noteOpening(const FlowKey& key, FlowToken token, MonotonicTime now)
@@ -96,7 +92,7 @@
             return;
         if (found->second.requestInProgress && !fields.reset
             && isAfter(fields.acknowledgement, found->second.acknowledgedAtRequest))
-            addSample(target.activity, now - found->second.requestSince, now);
+            addSample(target, now - found->second.requestSince, now);
         release(found->second);
         m_flows.erase(found);
         return;
@@ -112,7 +108,7 @@
     if (!flow.open || flow.token != target.token)
         open(flow, target, now);
     if (flow.requestInProgress && isAfter(fields.acknowledgement, flow.acknowledgedAtRequest)) {
-        addSample(target.activity, now - flow.requestSince, now);
+        addSample(target, now - flow.requestSince, now);
         endRequest(flow, &target);
     }
     if (fields.payloadBytes > 0 && !flow.requestInProgress)
@@ -125,10 +121,22 @@
     flow.token = target.token;
     flow.open = true;
     ++target.activity.openFlows;
-    target.activity.unanswered = 0;
+    if (std::exchange(target.activity.unanswered, 0) > 0)
+        m_observer.onTrusted(target);
     target.activity.lastOpened = now;
 }
 
+void FlowTracker::addSample(Target& target, Duration sample, MonotonicTime now)
+{
+    TargetActivity& activity = target.activity;
+    if (activity.responseTime == Duration::zero())
+        activity.responseTime = sample;
+    else
+        activity.responseTime += (sample - activity.responseTime) / responseSmoothing;
+    activity.lastResponse = now;
+    m_observer.onResponse(target, sample);
+}
+
 void FlowTracker::startRequest(Flow& flow, Target& target, const PacketFields& fields, MonotonicTime now)
 {
     flow.requestInProgress = true;
--- a/packages/placement/src/Target.cpp
+++ b/packages/placement/src/Target.cpp
@@ -1,3 +1,4 @@
+#include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/Target.h>
 
 #include <array>
@@ -12,4 +13,10 @@
     return FlowToken(folded == 0 ? 1 : folded);
 }
 
+PlacementObserver& PlacementObserver::none()
+{
+    static PlacementObserver observer;
+    return observer;
+}
+
 } // namespace anvilwalk
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-TargetCatalogue::TargetCatalogue(const TargetCatalogueOptions& options)
+TargetCatalogue::TargetCatalogue(const TargetCatalogueOptions& options, PlacementObserver& observer)
     : m_options(options)
+    , m_observer(observer)
 {
 }
 
@@ -100,6 +101,7 @@
 {
     target.presence = mayReturn ? TargetPresence::Missing : TargetPresence::Gone;
     target.absentSince = now;
+    m_observer.onAbsent(target);
 }
 
 void TargetCatalogue::expire(MonotonicTime now)
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -34,12 +34,13 @@
 
 } // namespace
 
-TokenRouter::TokenRouter(
-    const TokenRouterOptions& options, TargetCatalogue& targets, FlowTracker& flows, TargetChooser& chooser)
+TokenRouter::TokenRouter(const TokenRouterOptions& options, TargetCatalogue& targets, FlowTracker& flows,
+    TargetChooser& chooser, PlacementObserver& observer)
     : m_options(options)
     , m_targets(targets)
     , m_flows(flows)
     , m_chooser(chooser)
+    , m_observer(observer)
 {
 }
 
@@ -54,7 +55,7 @@
 {
     const PacketFields& fields = packet.fields();
     if (!m_routes)
-        return drop(DropReason::StaleState);
+        return drop(fields, DropReason::StaleState);
     const Route* route = m_routes->find(fields.key.serviceAddress());
     if (route == nullptr)
         return reset(fields, DropReason::UnknownAddress);
@@ -73,6 +74,8 @@
     const Target* target = m_chooser.choose(targets, m_flows.triedTargets(fields.key), now);
     if (target == nullptr)
         return reset(fields, DropReason::NoTarget);
+    m_observer.onPlaced(
+        { .flow = fields.key, .copy = fields.openingCopy, .target = *target, .candidates = targets.size() });
     m_flows.noteOpening(fields.key, target->token, now);
     ++m_counters.opened;
     ++m_counters.forwarded;
@@ -82,7 +85,7 @@
 Decision TokenRouter::routeOpen(const PacketFields& fields, MonotonicTime now)
 {
     if (fields.token == FlowToken())
-        return drop(DropReason::NoToken);
+        return drop(fields, DropReason::NoToken);
     Target* target = m_targets.find(fields.token);
     if (target == nullptr)
         return routeUnknownToken(fields, now);
@@ -98,7 +101,7 @@
 Decision TokenRouter::routeUnknownToken(const PacketFields& fields, MonotonicTime now)
 {
     if (!m_viewCurrent)
-        return drop(DropReason::UnknownToken);
+        return drop(fields, DropReason::UnknownToken);
     const auto found = m_unknownSince.find(fields.token);
     if (found != m_unknownSince.end()) {
         if (now - found->second >= m_options.unknownTokenGrace)
@@ -106,19 +109,21 @@
     } else if (m_unknownSince.size() < m_options.maxUnknownTokens) {
         m_unknownSince.emplace(fields.token, now);
     }
-    return drop(DropReason::UnknownToken);
+    return drop(fields, DropReason::UnknownToken);
 }
 
 Decision TokenRouter::reset(const PacketFields& fields, DropReason reason)
 {
     if (fields.reset)
-        return drop(reason);
+        return drop(fields, reason);
+    m_observer.onRefused({ .flow = fields.key, .token = fields.token, .reason = reason, .reset = true });
     ++m_counters.resets[static_cast<std::size_t>(reason)];
     return ResetFlow { .reason = reason };
 }
 
-Decision TokenRouter::drop(DropReason reason)
+Decision TokenRouter::drop(const PacketFields& fields, DropReason reason)
 {
+    m_observer.onRefused({ .flow = fields.key, .token = fields.token, .reason = reason, .reset = false });
     ++m_counters.drops[static_cast<std::size_t>(reason)];
     return DropPacket { .reason = reason };
 }
--- a/packages/toml/src/TomlTableReader.cpp
+++ b/packages/toml/src/TomlTableReader.cpp
@@ -103,7 +103,8 @@
 
 const toml::node* TomlTableReader::find(std::string_view key)
 {
-    m_known.emplace_back(key);
+    if (std::find(m_known.begin(), m_known.end(), key) == m_known.end())
+        m_known.emplace_back(key);
     return m_table.get(key);
 }
 
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -68,6 +68,7 @@
     }
     void onChanges(const std::vector<StoreEntry>& entries, StoreVersion) override { changes.push_back(entries.size()); }
     void onContact() override { ++contacts; }
+    void onAnswer(StoreVersion) override { }
     void onFailure(const Error&) override { ++failures; }
 
     std::vector<std::size_t> snapshots;
--- a/tests/edge/EdgeSettingsTest.cpp
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -13,6 +13,7 @@
 [listen]
 packets = "10.1.0.10:8172"
 ready = "10.1.0.10:8167"
+metrics = "10.1.0.10:9464"
 [store]
 address = "10.200.1.7:8169"
 [limits]
@@ -49,6 +50,7 @@
     CHECK(settings.dataCentre == DataCentreId("lima-a"));
     CHECK(settings.packetAddress.toString() == "10.1.0.10:8172");
     CHECK(settings.readyAddress.toString() == "10.1.0.10:8167");
+    CHECK(settings.metricsAddress.toString() == "10.1.0.10:9464");
     CHECK(settings.storeAddress.toString() == "10.200.1.7:8169");
     CHECK(settings.memoryMegabytes == 80);
     CHECK(settings.configBound == 5000ms);
@@ -64,6 +66,9 @@
     CHECK(findingsOf(text).all().size() == 3);
     CHECK(findingsOf(replaced("[store]\naddress = \"10.200.1.7:8169\"\n", "")).all().size() == 1);
     CHECK(findingsOf(replaced("id = \"front-lima-a-1\"", "id = \"\"")).all().size() == 1);
+    // Each key is named once in the hint, although several checks read it.
+    CHECK(findingsOf(validText + "colour = 1\n").all().front().hint
+        == "remove it; the keys here are config_in_force_ms, calm_window_ms, stop_seconds");
     CHECK(findingsOf("[balancer\n").all().size() == 1);
     CHECK(findingsOf("balancer = 3\n").all().size() == 5);
 }
--- a/tests/platform/PacketCodecTest.cpp
+++ b/tests/platform/PacketCodecTest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
+#include <string>
 #include <vector>
 
 using namespace anvilwalk;
@@ -127,3 +128,15 @@
             RC_ASSERT(bytes.size() == headerBytes + view->fields().payloadBytes);
     }));
 }
+
+TEST_CASE("findRequestId reads the header near the start of a request only")
+{
+    const auto find = [](const std::string& text) {
+        return std::string(findRequestId({ reinterpret_cast<const std::uint8_t*>(text.data()), text.size() }));
+    };
+    CHECK(find("GET / HTTP/1.1\r\nX-Anvilwalk-Attempt-Id: 8d802fa6\r\n\r\n") == "8d802fa6");
+    CHECK(find("GET / HTTP/1.1\r\nX-Anvilwalk-Attempt-Id: 8d80").empty());
+    CHECK(find("GET / HTTP/1.1\r\n\r\n").empty());
+    CHECK(find(std::string(600, 'x') + "\r\nX-Anvilwalk-Attempt-Id: 8d802fa6\r\n").empty());
+    CHECK(find("").empty());
+}
