placement: trust a target only after an answer that went through this balancer

Change: an answer is the end of a handshake whose opening packet went through this balancer, or an acknowledged response. A request that is repeated without progress is a sign that the target does not answer; two of them weigh as much as one repeated opening packet.

--- a/packages/placement/include/anvilwalk/placement/FlowTracker.h
+++ b/packages/placement/include/anvilwalk/placement/FlowTracker.h
@@ -11,6 +11,9 @@
 
 namespace anvilwalk {
 
+// A target is doubted once its signs of not answering reach this weight.
+inline constexpr std::uint32_t doubtThreshold = 2;
+
 struct FlowTrackerOptions {
     // Flows beyond this number are forwarded without being tracked.
     std::size_t capacity = 50'000;
@@ -65,14 +68,17 @@
         TriedTargets tried {};
         bool open = false;
         bool requestInProgress = false;
+        std::uint32_t requestSequence = 0;
         // Acknowledgement that the client had sent at its request.
         std::uint32_t acknowledgedAtRequest = 0;
         MonotonicTime requestSince;
         MonotonicTime lastSeen;
     };
 
-    void open(Flow&, Target&, MonotonicTime now);
+    void open(Flow&, Target&);
     void addSample(Target&, Duration, MonotonicTime now);
+    void noteUnanswered(Target&, const FlowKey&, std::uint32_t weight, MonotonicTime now);
+    void noteAnswered(Target&);
     void startRequest(Flow&, Target&, const PacketFields&, MonotonicTime now);
     void endRequest(Flow&, Target*);
     void release(Flow&);
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -20,11 +20,9 @@
     std::uint32_t openFlows = 0;
     // Requests sent that the client has not acknowledged an answer to.
     std::uint32_t requests = 0;
-    // Opening packets that the client had to repeat since the target last opened a flow.
+    // Signs that the target does not answer, since it last did: packets that clients had to repeat, by weight.
     std::uint32_t unanswered = 0;
     MonotonicTime lastUnanswered;
-    // Time of the last flow that opened.
-    MonotonicTime lastOpened;
     // Smoothed time from a request to its acknowledged answer; 0 until the first sample.
     Duration responseTime { 0 };
     MonotonicTime lastResponse;
--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -20,7 +20,7 @@
     double coldFactor = 1.6;
     // Upper limit of the factor by which a target's responses may be slower than its service's fastest.
     double maxSlowFactor = 6.0;
-    // How long a target is avoided for each opening packet that it left unanswered in a row.
+    // How long a doubted target is avoided; as often again for each further doubtThreshold of signs.
     std::chrono::milliseconds avoidUnanswered { 1000 };
     // Upper limit of that time, so that a target that has recovered is tried again.
     std::chrono::milliseconds maxAvoid { 4000 };
--- a/packages/placement/src/FlowTracker.cpp
+++ b/packages/placement/src/FlowTracker.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+    // A target answers an opening packet at once, so a repeated one is a clear sign.
+    constexpr std::uint32_t repeatedOpeningWeight = doubtThreshold;
+    // A request is repeated after 200 ms, which a healthy target may take for one of many.
+    constexpr std::uint32_t repeatedRequestWeight = 1;
     // Weight of a new sample in the smoothed response time.
     constexpr int responseSmoothing = 8;
 
@@ -50,13 +54,8 @@
     const auto found = m_flows.find(key);
     if (found == m_flows.end() || found->second.open)
         return;
-    Target* target = m_targets.find(found->second.token);
-    if (target == nullptr)
-        return;
-    TargetActivity& activity = target->activity;
-    activity.lastUnanswered = now;
-    if (++activity.unanswered == 1)
-        m_observer.onDoubted(*target, key);
+    if (Target* target = m_targets.find(found->second.token))
+        noteUnanswered(*target, key, repeatedOpeningWeight, now);
 }
 
 void FlowTracker::noteOpening(const FlowKey& key, FlowToken token, MonotonicTime now)
@@ -105,25 +104,31 @@
     }
     Flow& flow = found->second;
     flow.lastSeen = now;
-    if (!flow.open || flow.token != target.token)
-        open(flow, target, now);
+    if (!flow.open || flow.token != target.token) {
+        // The client has the target's answer to an opening packet that this balancer sent there. A flow that was opened
+        // elsewhere shows nothing of the kind.
+        if (!flow.open && flow.tried.contains(target.token))
+            noteAnswered(target);
+        open(flow, target);
+    }
     if (flow.requestInProgress && isAfter(fields.acknowledgement, flow.acknowledgedAtRequest)) {
         addSample(target, now - flow.requestSince, now);
         endRequest(flow, &target);
     }
-    if (fields.payloadBytes > 0 && !flow.requestInProgress)
+    if (fields.payloadBytes == 0)
+        return;
+    if (!flow.requestInProgress)
         startRequest(flow, target, fields, now);
+    else if (fields.sequence == flow.requestSequence)
+        noteUnanswered(target, fields.key, repeatedRequestWeight, now);
 }
 
-void FlowTracker::open(Flow& flow, Target& target, MonotonicTime now)
+void FlowTracker::open(Flow& flow, Target& target)
 {
     release(flow);
     flow.token = target.token;
     flow.open = true;
     ++target.activity.openFlows;
-    if (std::exchange(target.activity.unanswered, 0) > 0)
-        m_observer.onTrusted(target);
-    target.activity.lastOpened = now;
 }
 
 void FlowTracker::addSample(Target& target, Duration sample, MonotonicTime now)
@@ -134,12 +139,30 @@
     else
         activity.responseTime += (sample - activity.responseTime) / responseSmoothing;
     activity.lastResponse = now;
+    noteAnswered(target);
     m_observer.onResponse(target, sample);
 }
 
+void FlowTracker::noteUnanswered(Target& target, const FlowKey& key, std::uint32_t weight, MonotonicTime now)
+{
+    TargetActivity& activity = target.activity;
+    const bool wasDoubted = activity.unanswered >= doubtThreshold;
+    activity.unanswered += weight;
+    activity.lastUnanswered = now;
+    if (!wasDoubted && activity.unanswered >= doubtThreshold)
+        m_observer.onDoubted(target, key);
+}
+
+void FlowTracker::noteAnswered(Target& target)
+{
+    if (std::exchange(target.activity.unanswered, 0) >= doubtThreshold)
+        m_observer.onTrusted(target);
+}
+
 void FlowTracker::startRequest(Flow& flow, Target& target, const PacketFields& fields, MonotonicTime now)
 {
     flow.requestInProgress = true;
+    flow.requestSequence = fields.sequence;
     flow.acknowledgedAtRequest = fields.acknowledgement;
     flow.requestSince = now;
     ++target.activity.requests;
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -90,9 +90,10 @@
 bool TargetChooser::isAvoided(const Target& target, MonotonicTime now) const
 {
     const TargetActivity& activity = target.activity;
-    if (activity.unanswered == 0)
+    if (activity.unanswered < doubtThreshold)
         return false;
-    const auto period = std::min(activity.unanswered * m_options.avoidUnanswered, m_options.maxAvoid);
+    const std::uint32_t times = activity.unanswered / doubtThreshold;
+    const auto period = std::min(times * m_options.avoidUnanswered, m_options.maxAvoid);
     return now - activity.lastUnanswered < period;
 }
 
--- a/tests/placement/FlowTrackerTest.cpp
+++ b/tests/placement/FlowTrackerTest.cpp
@@ -68,6 +68,37 @@
     CHECK(activity(scene, 1).requests == 1);
 }
 
+// Guards against a crashed target that is trusted because flows opened through other balancers go on repeating packets.
+TEST_CASE("FlowTracker trusts a target only after an answer that went through this balancer")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    scene.open(flowKey(1));
+    scene.clock.advance(200ms);
+    scene.open(flowKey(1), 1);
+    CHECK(activity(scene, 1).unanswered >= doubtThreshold);
+    scene.sendData(flowKey(2), tokenOfTarget(1));
+    CHECK(activity(scene, 1).unanswered >= doubtThreshold);
+    scene.sendData(flowKey(1), tokenOfTarget(1));
+    CHECK(activity(scene, 1).unanswered == 0);
+}
+
+// Load: a target crashes while requests are in progress there.
+TEST_CASE("FlowTracker doubts a target whose clients repeat their requests, until it answers one")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    for (std::uint32_t number = 1; number <= 2; ++number) {
+        CHECK(activity(scene, 1).unanswered < doubtThreshold);
+        scene.sendData(flowKey(number), tokenOfTarget(1));
+        scene.clock.advance(200ms);
+        scene.sendData(flowKey(number), tokenOfTarget(1));
+    }
+    CHECK(activity(scene, 1).unanswered >= doubtThreshold);
+    scene.sendData(flowKey(1), tokenOfTarget(1), 1001);
+    CHECK(activity(scene, 1).unanswered == 0);
+}
+
 // Guards against memory without bound under forged flows.
 TEST_CASE("FlowTracker tracks no more flows than its capacity")
 {
