--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -20,10 +20,10 @@
     double coldFactor = 1.6;
     // Upper limit of the factor by which a target's responses may be slower than its service's fastest.
     double maxSlowFactor = 6.0;
-    // How long a doubted target is avoided; as often again for each further doubtThreshold of signs.
+    // How long a doubted target is avoided; doubles with each further doubtThreshold of signs.
     std::chrono::milliseconds avoidUnanswered { 1000 };
     // Upper limit of that time, so that a target that has recovered is tried again.
-    std::chrono::milliseconds maxAvoid { 4000 };
+    std::chrono::milliseconds maxAvoid { 8000 };
     // A response time older than this no longer counts.
     std::chrono::milliseconds responseTimeValid { 3000 };
     std::uint64_t seed = 0;
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -12,6 +12,9 @@
     // Targets whose loads differ by less are equal; one of them is taken at random.
     constexpr double loadTolerance = 1e-6;
 
+    // Keeps the doubled time within its type.
+    constexpr std::uint32_t maxDoublings = 16;
+
     // Preference of a target before load counts; lower is better.
     enum Rank : int {
         Answering = 0,
@@ -92,9 +95,11 @@
     const TargetActivity& activity = target.activity;
     if (activity.unanswered < doubtThreshold)
         return false;
-    const std::uint32_t times = activity.unanswered / doubtThreshold;
-    const auto period = std::min(times * m_options.avoidUnanswered, m_options.maxAvoid);
-    return now - activity.lastUnanswered < period;
+    const std::uint32_t failures = std::min(activity.unanswered / doubtThreshold, maxDoublings);
+    const auto period = std::min(m_options.avoidUnanswered * (1U << (failures - 1)), m_options.maxAvoid);
+    // After that, one flow at a time tries whether it answers again. A target that is down has no load and would get
+    // every new flow.
+    return now - activity.lastUnanswered < period || activity.openings > 0;
 }
 
 double TargetChooser::loadOf(const Target& target, Duration fastest, MonotonicTime now) const
--- a/tests/placement/TargetChooserTest.cpp
+++ b/tests/placement/TargetChooserTest.cpp
@@ -72,6 +72,29 @@
     CHECK(counts.count(tokenOfTarget(1)) == 1);
 }
 
+// Load: a target that has been down for seconds looks idle, so that every new flow would go there once its time is up.
+TEST_CASE("TargetChooser tries a doubted target with one flow at a time")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    FlowKey first = flowKey(1);
+    scene.open(first);
+    scene.clock.advance(200ms);
+    scene.open(first, 1);
+    for (std::uint64_t number = 2; number <= 4; ++number)
+        scene.put(targetRecord(number));
+    scene.clock.advance(4s);
+    scene.flows.expire(scene.clock.now());
+    int trials = 0;
+    for (std::uint32_t number = 100; number < 130; ++number) {
+        const auto token = scene.open(flowKey(number));
+        trials += token == tokenOfTarget(1) ? 1 : 0;
+        if (token != tokenOfTarget(1))
+            scene.sendData(flowKey(number), *token);
+    }
+    CHECK(trials == 1);
+}
+
 TEST_CASE("TargetChooser uses a doubtful target when there is no other")
 {
     PlacementScene scene;
