edge: size tables by the settings, take the configuration's idle timeout, bound a turn of packets

Found by reading: memory_mb and idle_timeout_ms were read and not used; a flood of full batches kept readiness probes waiting; an accept that failed for want of descriptors was repeated without a pause.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -35,6 +35,30 @@
         return std::max(shortest, settings.calmWindow + settings.configBound - configMargin);
     }
 
+    // Bytes of a tracked flow with its place in the table, rounded up.
+    constexpr std::size_t trackedFlowBytes = 192;
+    // Shares of the process's memory: tracked flows, and packets that wait to be received.
+    constexpr std::size_t trackedFlowsShare = 8;
+    constexpr std::size_t receiveBufferShare = 16;
+    constexpr std::size_t maxTrackedFlows = 50'000;
+    constexpr std::size_t maxReceiveBufferBytes = 4'194'304;
+
+    std::size_t memoryBytesOf(const EdgeSettings& settings)
+    {
+        constexpr std::size_t bytesPerMegabyte = 1'000'000;
+        return settings.memoryMegabytes * bytesPerMegabyte;
+    }
+
+    std::size_t trackedFlowsOf(const EdgeSettings& settings)
+    {
+        return std::min(maxTrackedFlows, memoryBytesOf(settings) / trackedFlowsShare / trackedFlowBytes);
+    }
+
+    int receiveBufferBytesOf(const EdgeSettings& settings)
+    {
+        return static_cast<int>(std::min(maxReceiveBufferBytes, memoryBytesOf(settings) / receiveBufferShare));
+    }
+
     StoreFeedOptions feedOptions(const EdgeSettings& settings, std::string_view feed)
     {
         StoreFeedOptions options;
@@ -54,12 +78,14 @@
     , m_clock(clock)
     , m_decisions(log, platform.packets)
     , m_targets(TargetCatalogueOptions {}, m_decisions)
-    , m_flows(FlowTrackerOptions {}, m_targets, m_decisions)
+    , m_flows({ .capacity = trackedFlowsOf(settings) }, m_targets, m_decisions)
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
     , m_view(m_targets, m_router, log, clock)
-    , m_packets({ .address = settings.packetAddress, .clientPort = settings.packetAddress.port }, context,
-          platform.packets, m_router, m_decisions, clock)
+    , m_packets({ .address = settings.packetAddress,
+                    .clientPort = settings.packetAddress.port,
+                    .receiveBufferBytes = receiveBufferBytesOf(settings) },
+          context, platform.packets, m_router, m_decisions, clock)
     , m_readyServer({ .address = settings.readyAddress }, context,
           [this, path = platform.readyPath](std::string_view asked) -> std::optional<HttpReply> {
               if (asked != path)
@@ -123,6 +149,8 @@
         timer.expires_after(housekeepingInterval);
         co_await timer.async_wait(asio::use_awaitable);
         const MonotonicTime now = m_clock.now();
+        if (m_router.routes())
+            m_flows.setIdleTimeout(m_router.routes()->idleTimeout());
         m_flows.expire(now);
         m_targets.expire(now);
         m_router.expire(now);
--- a/apps/anvilwalk-edge/EdgeHttpServer.cpp
+++ b/apps/anvilwalk-edge/EdgeHttpServer.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -17,6 +18,7 @@
     namespace http = boost::beast::http;
     using tcp = asio::ip::tcp;
 
+    constexpr std::chrono::milliseconds acceptRetryPause { 100 };
     // A prober's request is a few lines.
     constexpr std::uint32_t maxHeaderBytes = 8192;
 
@@ -68,10 +70,15 @@
     for (;;) {
         boost::system::error_code error;
         tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (!error)
-            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
-        else if (error == asio::error::operation_aborted)
+        if (error == asio::error::operation_aborted)
             co_return;
+        if (error) {
+            // Out of descriptors, for example; connections wait in the queue meanwhile.
+            asio::steady_timer timer(m_context, acceptRetryPause);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
     }
 }
 
--- a/apps/anvilwalk-edge/PacketLoop.cpp
+++ b/apps/anvilwalk-edge/PacketLoop.cpp
@@ -16,6 +16,8 @@
     // Packets taken with one system call.
     constexpr std::size_t batchPackets = 32;
 
+    constexpr int maxBatchesInTurn = 16;
+
     sockaddr_in toSocketAddress(const Ipv4Endpoint& endpoint)
     {
         sockaddr_in address {};
@@ -104,7 +106,8 @@
         co_await m_socket.async_wait(udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return;
-        while (handleBatch()) { }
+        // Other tasks, such as readiness, get their turn under a flood too.
+        for (int batches = 1; batches < maxBatchesInTurn && handleBatch(); ++batches) { }
     }
 }
 
--- a/apps/anvilwalk-edge/PacketLoop.h
+++ b/apps/anvilwalk-edge/PacketLoop.h
@@ -18,7 +18,7 @@
     // Clients receive resets at their address and this port.
     std::uint16_t clientPort = 0;
     // Space for packets that arrive while the process waits for its turn; counts as memory when used.
-    int receiveBufferBytes = 4 << 20;
+    int receiveBufferBytes = 4'194'304;
 };
 
 struct PacketLoopCounters {
--- a/packages/placement/include/anvilwalk/placement/FlowTracker.h
+++ b/packages/placement/include/anvilwalk/placement/FlowTracker.h
@@ -17,8 +17,6 @@
 struct FlowTrackerOptions {
     // Flows beyond this number are forwarded without being tracked.
     std::size_t capacity = 50'000;
-    // A flow without a packet for this long is forgotten.
-    std::chrono::milliseconds idleTimeout { 15'000 };
     // A request without an answer for this long no longer counts as in progress.
     std::chrono::milliseconds requestTimeout { 5'000 };
     // An opening packet without a later packet for this long no longer counts as pending. Clients give up after 1.4 s.
@@ -50,6 +48,8 @@
     void noteOpening(const FlowKey&, FlowToken, MonotonicTime now);
     // A later packet is sent to the flow's target.
     void notePacket(const PacketFields&, Target&, MonotonicTime now);
+    // A flow without a packet for this long is forgotten.
+    void setIdleTimeout(std::chrono::milliseconds timeout) { m_idleTimeout = timeout; }
     // Forgets idle flows and overdue requests.
     void expire(MonotonicTime now);
     // Forgets a flow that was reset.
@@ -86,6 +86,7 @@
 
     PlacementObserver& m_observer;
     FlowTrackerOptions m_options;
+    std::chrono::milliseconds m_idleTimeout { 15'000 };
     TargetCatalogue& m_targets;
     absl::flat_hash_map<FlowKey, Flow, KeyHash> m_flows;
 };
--- a/packages/placement/src/FlowTracker.cpp
+++ b/packages/placement/src/FlowTracker.cpp
@@ -208,7 +208,7 @@
             Target* target = m_targets.find(flow.token);
             endRequest(flow, target);
         }
-        const auto timeout = flow.open ? m_options.idleTimeout : m_options.openingTimeout;
+        const auto timeout = flow.open ? m_idleTimeout : m_options.openingTimeout;
         if (now - flow.lastSeen < timeout) {
             ++at;
             continue;
--- a/tests/placement/FlowTrackerTest.cpp
+++ b/tests/placement/FlowTrackerTest.cpp
@@ -54,8 +54,12 @@
     scene.flows.expire(scene.clock.now());
     CHECK(activity(scene, 1).requests == 0);
     CHECK(activity(scene, 1).openFlows == 1);
+    scene.flows.setIdleTimeout(20s);
     scene.clock.advance(10s);
     scene.flows.expire(scene.clock.now());
+    CHECK(activity(scene, 1).openFlows == 1);
+    scene.clock.advance(5s);
+    scene.flows.expire(scene.clock.now());
     CHECK(activity(scene, 1).openFlows == 0);
 }
 
