--- a/apps/anvilwalk-edge/PacketLoop.cpp
+++ b/apps/anvilwalk-edge/PacketLoop.cpp
@@ -1,5 +1,7 @@
 #include "PacketLoop.h"
 
+#include <anvilwalk/units/SocketAddress.h>
+
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,15 +20,6 @@
 
     constexpr int maxBatchesInTurn = 16;
 
-    sockaddr_in toSocketAddress(const Ipv4Endpoint& endpoint)
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(endpoint.port);
-        address.sin_addr.s_addr = htonl(endpoint.address.value);
-        return address;
-    }
-
 } // namespace
 
 // Buffers of one batch: each packet is received behind its headroom and sent from where it lies.
--- a/apps/anvilwalkd/SendBatch.cpp
+++ b/apps/anvilwalkd/SendBatch.cpp
@@ -1,6 +1,6 @@
 #include "SendBatch.h"
 
-#include "SocketAddress.h"
+#include <anvilwalk/units/SocketAddress.h>
 
 #include <cerrno>
 
--- a/apps/anvilwalkd/UdpSocket.cpp
+++ b/apps/anvilwalkd/UdpSocket.cpp
@@ -1,6 +1,6 @@
 #include "UdpSocket.h"
 
-#include "SocketAddress.h"
+#include <anvilwalk/units/SocketAddress.h>
 
 #include <cerrno>
 #include <cstring>
--- a/bench/throughput/main.cpp
+++ b/bench/throughput/main.cpp
@@ -1,8 +1,8 @@
 // Compares the packet rate of the balancer's packet path with that of a bare receive-and-send loop on the same
 // kind of sockets. Both run in turn, several times, under more load than they can take.
 
+#include <anvilwalk/units/SocketAddress.h>
 #include <anvilwalkd/PacketWorker.h>
-#include <anvilwalkd/SocketAddress.h>
 
 #include <fakes/PacketBuilder.h>
 
--- a/packages/process/objectapi/HttpObjectStore.cpp
+++ b/packages/process/objectapi/HttpObjectStore.cpp
@@ -30,28 +30,11 @@
         Write,
     };
 
-    std::string escapeSegment(std::string_view text)
-    {
-        constexpr std::string_view hex = "0123456789ABCDEF";
-        std::string escaped;
-        for (const char character : text) {
-            const auto byte = static_cast<unsigned char>(character);
-            if (std::isalnum(byte) || character == '-' || character == '.' || character == '_') {
-                escaped += character;
-                continue;
-            }
-            escaped += '%';
-            escaped += hex[byte >> 4U];
-            escaped += hex[byte & 0xFU];
-        }
-        return escaped;
-    }
-
-    std::string kindPath(const std::string& kind) { return apiPath + escapeSegment(kind); }
+    std::string kindPath(const std::string& kind) { return apiPath + percentEncode(kind); }
 
     std::string objectPath(const std::string& kind, const std::string& name)
     {
-        return kindPath(kind) + "/" + escapeSegment(name);
+        return kindPath(kind) + "/" + percentEncode(name);
     }
 
     std::optional<StoreVersion> parseVersion(const json& metadata)
--- a/packages/units/include/anvilwalk/units.h
+++ b/packages/units/include/anvilwalk/units.h
@@ -7,5 +7,6 @@
 #include <anvilwalk/units/Hash.h>
 #include <anvilwalk/units/Ids.h>
 #include <anvilwalk/units/Ipv4Endpoint.h>
+#include <anvilwalk/units/PercentEncoding.h>
 #include <anvilwalk/units/Result.h>
 #include <anvilwalk/units/StrongId.h>
--- a/apps/anvilwalkd/SocketAddress.h
+++ b/packages/units/include/anvilwalk/units/SocketAddress.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <anvilwalk/units.h>
+#include <anvilwalk/units/Ipv4Endpoint.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/edge/DecisionLogTest.cpp
+++ b/tests/edge/DecisionLogTest.cpp
@@ -2,6 +2,7 @@
 #include <anvilwalk-edge/EdgeMetrics.h>
 #include <fakes/FakeClock.h>
 #include <fakes/PlacementScene.h>
+#include <fakes/RecordedLines.h>
 
 #include <catch2/catch.hpp>
 #include <string>
@@ -13,12 +14,6 @@
 
 namespace {
 
-struct Lines final : LineSink {
-    void write(std::string_view line) override { lines.emplace_back(line); }
-    void flush() override { }
-    std::vector<std::string> lines;
-};
-
 // A format without bytes, whose requests all have one id.
 struct NamedRequests final : PacketFormat {
     std::size_t maxPacketBytes() const override { return 0; }
@@ -37,7 +32,7 @@
 
 struct Fixture {
     FakeClock clock;
-    Lines sink;
+    RecordedLines sink;
     EventLog log { EventLogOptions {}, sink, clock };
     NamedRequests format;
     DecisionLog decisions { log, format };
--- a/tests/eventlog/EventLogTest.cpp
+++ b/tests/eventlog/EventLogTest.cpp
@@ -1,5 +1,6 @@
 #include <anvilwalk/eventlog.h>
 #include <fakes/FakeClock.h>
+#include <fakes/RecordedLines.h>
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
@@ -10,20 +11,10 @@
 using namespace anvilwalk;
 using namespace std::chrono_literals;
 
-namespace {
-
-struct Lines final : LineSink {
-    void write(std::string_view line) override { lines.emplace_back(line); }
-    void flush() override { }
-    std::vector<std::string> lines;
-};
-
-} // namespace
-
 TEST_CASE("EventLog writes one JSON object a line and escapes texts")
 {
     fakes::FakeClock clock;
-    Lines sink;
+    fakes::RecordedLines sink;
     EventLogOptions options;
     options.balancer = "b\"1";
     EventLog log(options, sink, clock);
@@ -40,7 +31,7 @@
 TEST_CASE("EventLog keeps to the budget of each kind and counts what it leaves out")
 {
     fakes::FakeClock clock;
-    Lines sink;
+    fakes::RecordedLines sink;
     EventLogOptions options;
     options.linesPerSecond.fill(3);
     EventLog log(options, sink, clock);
--- a/tests/process/PacketWorkerTest.cpp
+++ b/tests/process/PacketWorkerTest.cpp
@@ -1,6 +1,6 @@
+#include <anvilwalk/units/SocketAddress.h>
 #include <anvilwalkd/PacketTracer.h>
 #include <anvilwalkd/PacketWorker.h>
-#include <anvilwalkd/SocketAddress.h>
 
 #include <atomic>
 #include <catch2/catch.hpp>
