--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -93,8 +93,8 @@
 {
     auto result = co_await m_reader.watch(m_version, m_options.watchWait);
     if (!isOk(result)) {
-        // Changes may have been made while the watch was deaf, and the history of them dropped since; only a new list
-        // shows them for certain.
+        // The store may have made changes without reporting them on this watch, and dropped their history since; only
+        // a new list shows them for certain.
         m_hasSnapshot = false;
         noteFailure(errorOf(result));
         co_return false;
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -119,8 +119,8 @@
     CHECK(fixture.observer.contacts == 2);
 }
 
-// Guards against a change that was made while a watch was deaf: a watch that continues from before it may never hear of
-// it once the store has dropped its history.
+// Guards against a change that the store did not report on a watch: a watch that continues from before it may never
+// hear of it once the store has dropped its history.
 TEST_CASE("StoreFeed lists again after a watch that failed")
 {
     Fixture fixture;
