placement: rebuild the index of targets once a batch instead of once an entry

Reading a list of n targets rebuilt and sorted the maps n times, at each start and after each failed watch. They are now brought up to date when the next packet needs them. Of two targets with one token, the later one can now be chosen as soon as the earlier has ended, and no longer only with the next entry.

--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -95,13 +95,14 @@
     // The target with a token, listed, missing or gone; null if unknown.
     Target* find(FlowToken);
     // Listed and missing targets of a service, in an order that is equal on all balancers.
-    const std::vector<Target*>& targetsOf(const ServiceName&) const;
+    const std::vector<Target*>& targetsOf(const ServiceName&);
     std::size_t size() const { return m_byName.size(); }
 
 private:
     bool mayHaveLapsed(std::size_t removed, MonotonicTime now) const;
     void markAbsent(Target&, bool mayReturn, MonotonicTime now);
-    void rebuildIndex();
+    // Brings the maps by token and service up to date; many entries change before the next packet needs them.
+    void updateIndex();
     void rebuildServices();
 
     TargetCatalogueOptions m_options;
@@ -110,6 +111,7 @@
     absl::flat_hash_map<std::string, std::unique_ptr<Target>> m_byName;
     // Runs that ended although their name is in use again.
     std::vector<std::unique_ptr<Target>> m_replaced;
+    bool m_indexCurrent = true;
     absl::flat_hash_map<FlowToken, Target*> m_byToken;
     absl::flat_hash_map<ServiceName, std::vector<Target*>> m_byService;
     MonotonicTime m_lastOutage;
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -44,7 +44,7 @@
     slot->version = version;
     slot->presence = TargetPresence::Listed;
     slot->coldUntil = now + record.coldRemaining;
-    rebuildIndex();
+    m_indexCurrent = false;
 }
 
 void TargetCatalogue::putInvalid(const std::string& name, StoreVersion version, MonotonicTime now)
@@ -55,7 +55,7 @@
     found->second->version = version;
     // Another writer changed the entry; the target itself may still run.
     markAbsent(*found->second, true, now);
-    rebuildServices();
+    m_indexCurrent = false;
 }
 
 void TargetCatalogue::remove(const std::vector<RemovedEntry>& entries, MonotonicTime now)
@@ -75,7 +75,7 @@
         changed = true;
     }
     if (changed)
-        rebuildServices();
+        m_indexCurrent = false;
 }
 
 void TargetCatalogue::retainOnly(const std::vector<std::string>& names, StoreVersion version, MonotonicTime now)
@@ -119,27 +119,29 @@
     const std::size_t before = m_byName.size() + m_replaced.size();
     absl::erase_if(m_byName, [&](const auto& entry) { return forgettable(*entry.second); });
     std::erase_if(m_replaced, [&](const auto& target) { return forgettable(*target); });
-    if (before != m_byName.size() + m_replaced.size())
-        rebuildIndex();
-    else if (changed)
-        rebuildServices();
+    if (changed || before != m_byName.size() + m_replaced.size())
+        m_indexCurrent = false;
 }
 
 Target* TargetCatalogue::find(FlowToken token)
 {
+    updateIndex();
     const auto found = m_byToken.find(token);
     return found == m_byToken.end() ? nullptr : found->second;
 }
 
-const std::vector<Target*>& TargetCatalogue::targetsOf(const ServiceName& service) const
+const std::vector<Target*>& TargetCatalogue::targetsOf(const ServiceName& service)
 {
     static const std::vector<Target*> none;
+    updateIndex();
     const auto found = m_byService.find(service);
     return found == m_byService.end() ? none : found->second;
 }
 
-void TargetCatalogue::rebuildIndex()
+void TargetCatalogue::updateIndex()
 {
+    if (std::exchange(m_indexCurrent, true))
+        return;
     m_byToken.clear();
     // A listed target wins a token over one that has ended, and an earlier one over a later.
     for (const auto& target : m_replaced)
