--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -8,7 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
-#include <memory>
+#include <pcg_random.hpp>
 #include <string>
 #include <vector>
 
@@ -46,16 +46,11 @@
 class StoreFeed {
 public:
     StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&);
-    ~StoreFeed();
-    StoreFeed(const StoreFeed&) = delete;
-    StoreFeed& operator=(const StoreFeed&) = delete;
 
     // Runs until the io_context ends.
     boost::asio::awaitable<void> run();
 
 private:
-    struct Random;
-
     boost::asio::awaitable<bool> takeSnapshot();
     boost::asio::awaitable<bool> takeChanges();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds);
@@ -67,7 +62,7 @@
     boost::asio::steady_timer m_timer;
     StoreReader& m_reader;
     StoreFeedObserver& m_observer;
-    std::unique_ptr<Random> m_random;
+    pcg32 m_random;
     StoreVersion m_version;
     bool m_hasSnapshot = false;
     bool m_inContact = false;
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <pcg_random.hpp>
 #include <random>
 #include <utility>
 
@@ -11,28 +10,17 @@
 
 namespace asio = boost::asio;
 
-struct StoreFeed::Random {
-    explicit Random(std::uint64_t seed)
-        : engine(seed)
-    {
-    }
-
-    pcg32 engine;
-};
-
 StoreFeed::StoreFeed(
     const StoreFeedOptions& options, asio::io_context& context, StoreReader& reader, StoreFeedObserver& observer)
     : m_options(options)
     , m_timer(context)
     , m_reader(reader)
     , m_observer(observer)
-    , m_random(std::make_unique<Random>(options.seed))
+    , m_random(options.seed)
     , m_retryPause(options.retryPause)
 {
 }
 
-StoreFeed::~StoreFeed() = default;
-
 namespace {
 
     // The last name that could be read; empty if there is none.
@@ -135,7 +123,7 @@
     const auto longest = static_cast<int>(m_retryPause.count());
     m_retryPause = std::min(m_retryPause * 2, m_options.maxRetryPause);
     // Jitter keeps balancers that failed together from calling again together.
-    return std::chrono::milliseconds(std::uniform_int_distribution<int>(longest / 2, longest)(m_random->engine));
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(longest / 2, longest)(m_random));
 }
 
 } // namespace anvilwalk
--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -5,7 +5,7 @@
 #include <anvilwalk/units.h>
 
 #include <cstdint>
-#include <memory>
+#include <pcg_random.hpp>
 
 namespace anvilwalk {
 
@@ -33,9 +33,6 @@
 class TargetChooser {
 public:
     explicit TargetChooser(const TargetChooserOptions&);
-    ~TargetChooser();
-    TargetChooser(const TargetChooser&) = delete;
-    TargetChooser& operator=(const TargetChooser&) = delete;
 
     // The target for a new flow, other than those tried for it if possible. Null if the service has none that takes new
     // flows.
@@ -43,14 +40,13 @@
 
 private:
     struct Candidate;
-    struct Random;
 
     int rankOf(const Target&, const TriedTargets&, MonotonicTime now) const;
     double loadOf(const Target&, Duration fastest, MonotonicTime now) const;
     bool isAvoided(const Target&, MonotonicTime now) const;
 
     TargetChooserOptions m_options;
-    std::unique_ptr<Random> m_random;
+    pcg32 m_random;
 };
 
 } // namespace anvilwalk
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <pcg_random.hpp>
 #include <random>
 
 namespace anvilwalk {
@@ -32,23 +31,12 @@
 
 } // namespace
 
-struct TargetChooser::Random {
-    explicit Random(std::uint64_t seed)
-        : engine(seed)
-    {
-    }
-
-    pcg32 engine;
-};
-
 TargetChooser::TargetChooser(const TargetChooserOptions& options)
     : m_options(options)
-    , m_random(std::make_unique<Random>(options.seed))
+    , m_random(options.seed)
 {
 }
 
-TargetChooser::~TargetChooser() = default;
-
 Target* TargetChooser::choose(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
 {
     Duration fastest = Duration::max();
@@ -70,7 +58,7 @@
             continue;
         equals = better ? 1 : equals + 1;
         // Each of several equal targets is kept with the same probability.
-        if (better || m_random->engine(equals) == 0) {
+        if (better || m_random(equals) == 0) {
             best = target;
             bestRank = rank;
             bestLoad = load;
