discovery, edge: take over the view of a peer while the store does not answer

Cause: a balancer that starts during an outage of the store knows no routes and no targets, and drops every packet until the store is back (reason stale_state). Ruled out: retries of the list (they fail until the store is back), keeping the view on the VM (it has no disk). A peer's view makes it ready; an unknown token still means nothing.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -102,6 +102,9 @@
           })
     , m_targetFeed(feedOptions(settings, "targets"), context, platform.targets, m_view.targetObserver())
     , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver())
+    , m_peerFeed({ .self = settings.peerAddress.value_or(Ipv4Endpoint {}),
+                     .seed = hashText(settings.balancer.value(), hashText("peers")) },
+          context, platform.peerList, platform.peers, m_view)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
     m_decisions.setView(m_view);
@@ -112,6 +115,9 @@
     Status status = m_packets.open();
     if (isOk(status))
         status = m_readyServer.open();
+    if (!isOk(status))
+        return status;
+    status = startPeerServer();
     if (!isOk(status))
         return status;
     // Packets are served without metrics rather than not at all.
@@ -124,11 +130,39 @@
     asio::co_spawn(m_context, m_readyServer.run(), asio::detached);
     asio::co_spawn(m_context, m_targetFeed.run(), asio::detached);
     asio::co_spawn(m_context, m_routeFeed.run(), asio::detached);
+    asio::co_spawn(m_context, m_peerFeed.run(), asio::detached);
     asio::co_spawn(m_context, keepHouse(), asio::detached);
     asio::co_spawn(m_context, handleSignals(), asio::detached);
     return status;
 }
 
+Status EdgeBalancer::startPeerServer()
+{
+    if (!m_settings.peerAddress)
+        return std::monostate {};
+    m_peerServer = std::make_unique<EdgeHttpServer>(EdgeHttpServerOptions { .address = *m_settings.peerAddress },
+        m_context, [this](std::string_view path) { return answerPeer(path); });
+    const Status status = m_peerServer->open();
+    if (isOk(status))
+        asio::co_spawn(m_context, m_peerServer->run(), asio::detached);
+    return status;
+}
+
+std::optional<HttpReply> EdgeBalancer::answerPeer(std::string_view path) const
+{
+    constexpr unsigned notModified = 304;
+    constexpr unsigned noView = 503;
+    const auto asked = parseViewPath(path);
+    if (!asked)
+        return std::nullopt;
+    if (!m_view.isComplete())
+        return HttpReply { .status = noView };
+    const KnownVersions own = m_view.knownVersions();
+    if (own.targets <= asked->targets && own.config <= asked->config)
+        return HttpReply { .status = notModified };
+    return HttpReply { .body = encodeView(m_view.snapshot()), .contentType = "application/json" };
+}
+
 std::string EdgeBalancer::currentMetrics() const
 {
     return renderMetrics({ .router = m_router.counters(),
@@ -139,7 +173,8 @@
         .configVersion = m_router.routes() ? m_router.routes()->version().value() : 0,
         .targetsAge = m_view.targetsAge(),
         .routesAge = m_view.routesAge(),
-        .logLinesLost = m_logWriter.linesLost() });
+        .logLinesLost = m_logWriter.linesLost(),
+        .peerViewsTaken = m_view.peerViewsTaken() });
 }
 
 asio::awaitable<void> EdgeBalancer::keepHouse()
--- a/apps/anvilwalk-edge/EdgeBalancer.h
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -15,7 +15,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace anvilwalk {
 
@@ -24,6 +27,9 @@
     const PacketFormat& packets;
     StoreReader& targets;
     StoreReader& routes;
+    PeerReader& peers;
+    // Addresses of peers, read anew for each use.
+    PeerViewFeed::PeerList peerList;
     std::string readyPath;
 };
 
@@ -43,6 +49,8 @@
     boost::asio::awaitable<void> handleSignals();
     boost::asio::awaitable<void> stop();
     bool isReady() const { return !m_stopping && m_view.isComplete(); }
+    Status startPeerServer();
+    std::optional<HttpReply> answerPeer(std::string_view path) const;
     std::string currentMetrics() const;
 
     EdgeSettings m_settings;
@@ -59,8 +67,11 @@
     PacketLoop m_packets;
     EdgeHttpServer m_readyServer;
     EdgeHttpServer m_metricsServer;
+    // Answers peers; null if the settings name no address for it.
+    std::unique_ptr<EdgeHttpServer> m_peerServer;
     StoreFeed m_targetFeed;
     StoreFeed m_routeFeed;
+    PeerViewFeed m_peerFeed;
     boost::asio::signal_set m_signals;
     std::function<void()> m_reload;
     bool m_stopping = false;
--- a/apps/anvilwalk-edge/EdgeHttpServer.cpp
+++ b/apps/anvilwalk-edge/EdgeHttpServer.cpp
@@ -30,7 +30,8 @@
             response.result(http::status::method_not_allowed);
         } else if (auto reply = handler({ request.target().data(), request.target().size() })) {
             response.result(reply->status);
-            response.set(http::field::content_type, "text/plain; version=0.0.4");
+            response.set(
+                http::field::content_type, beast::string_view(reply->contentType.data(), reply->contentType.size()));
             response.body() = std::move(reply->body);
         }
         response.keep_alive(request.keep_alive());
--- a/apps/anvilwalk-edge/EdgeHttpServer.h
+++ b/apps/anvilwalk-edge/EdgeHttpServer.h
@@ -17,6 +17,7 @@
     // HTTP status code.
     unsigned status = 200;
     std::string body {};
+    std::string_view contentType = "text/plain; version=0.0.4";
 };
 
 struct EdgeHttpServerOptions {
@@ -25,7 +26,7 @@
     std::chrono::seconds idleTimeout { 30 };
 };
 
-// Answers GET requests of probers and monitoring.
+// Answers GET requests of probers, monitoring and peers.
 class EdgeHttpServer {
 public:
     // The reply to a path; nothing if there is no such path.
--- a/apps/anvilwalk-edge/EdgeMetrics.h
+++ b/apps/anvilwalk-edge/EdgeMetrics.h
@@ -20,6 +20,7 @@
     Duration targetsAge { 0 };
     Duration routesAge { 0 };
     std::uint64_t logLinesLost = 0;
+    std::uint64_t peerViewsTaken = 0;
 };
 
 // The metrics in the text format of Prometheus (docs/OPERATIONS.md lists them).
--- a/apps/anvilwalk-edge/EdgeSettings.cpp
+++ b/apps/anvilwalk-edge/EdgeSettings.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-    constexpr std::uint32_t minMemoryMegabytes = 16;
-    constexpr std::uint32_t maxMemoryMegabytes = 1 << 20;
-    constexpr std::uint32_t maxMilliseconds = 3'600'000;
+    constexpr double minMemoryMegabytes = 16;
+    constexpr double maxMemoryMegabytes = 1 << 20;
+    constexpr double maxMilliseconds = 3'600'000;
     constexpr double maxStopSeconds = 3600;
 
     // Reads the sections of a settings file one after the other. Sections and keys that are not known are reported.
@@ -29,6 +29,8 @@
             readSection("balancer", [this](TomlTableReader& section) { readBalancer(section); });
             readSection("listen", [this](TomlTableReader& section) { readListen(section); });
             readSection("store", [this](TomlTableReader& section) { readStore(section); });
+            if (m_reader.find("peers") != nullptr)
+                readSection("peers", [this](TomlTableReader& section) { readPeers(section); });
             readSection("limits", [this](TomlTableReader& section) { readLimits(section); });
             readSection("bounds", [this](TomlTableReader& section) { readBounds(section); });
             m_reader.reportUnknownKeys();
@@ -80,8 +82,8 @@
         std::chrono::milliseconds readMilliseconds(
             TomlTableReader& section, const char* key, std::chrono::milliseconds standard)
         {
-            const auto value = section.number(key, 1, maxMilliseconds, std::to_string(standard.count()));
-            return value ? std::chrono::milliseconds(*value) : standard;
+            const auto value = section.decimal(key, 1, maxMilliseconds, std::to_string(standard.count()));
+            return value ? std::chrono::milliseconds(static_cast<std::int64_t>(*value)) : standard;
         }
 
         void readBalancer(TomlTableReader& section)
@@ -95,14 +97,34 @@
             m_settings.packetAddress = readEndpoint(section, "packets");
             m_settings.readyAddress = readEndpoint(section, "ready");
             m_settings.metricsAddress = readEndpoint(section, "metrics");
+            if (section.find("peers") != nullptr)
+                m_settings.peerAddress = readEndpoint(section, "peers");
         }
 
         void readStore(TomlTableReader& section) { m_settings.storeAddress = readEndpoint(section, "address"); }
 
+        void readPeers(TomlTableReader& section)
+        {
+            constexpr const char* hint = "write seeds = [\"10.0.0.2:8166\", \"10.0.0.3:8166\"]";
+            const toml::node* node = section.require("seeds", "[\"10.0.0.2:8166\"]");
+            const toml::array* seeds = node == nullptr ? nullptr : node->as_array();
+            if (node != nullptr && seeds == nullptr)
+                section.add(*node, "seeds is not a list", hint);
+            if (seeds == nullptr)
+                return;
+            for (const toml::node& seed : *seeds) {
+                const auto endpoint = Ipv4Endpoint::parse(seed.value_or<std::string_view>(""));
+                if (endpoint)
+                    m_settings.peers.push_back(*endpoint);
+                else
+                    section.add(seed, "a seed is not an address with a port", hint);
+            }
+        }
+
         void readLimits(TomlTableReader& section)
         {
-            m_settings.memoryMegabytes = section.number("memory_mb", minMemoryMegabytes, maxMemoryMegabytes, "256")
-                                             .value_or(m_settings.memoryMegabytes);
+            if (const auto megabytes = section.decimal("memory_mb", minMemoryMegabytes, maxMemoryMegabytes, "256"))
+                m_settings.memoryMegabytes = static_cast<std::uint32_t>(*megabytes);
         }
 
         void readBounds(TomlTableReader& section)
--- a/apps/anvilwalk-edge/EdgeSettings.h
+++ b/apps/anvilwalk-edge/EdgeSettings.h
@@ -4,9 +4,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace anvilwalk {
 
@@ -19,6 +21,10 @@
     Ipv4Endpoint readyAddress;
     Ipv4Endpoint metricsAddress;
     Ipv4Endpoint storeAddress;
+    // Answers other balancers; nothing if this one does not.
+    std::optional<Ipv4Endpoint> peerAddress;
+    // Addresses at which some other balancers answer. They may be stale.
+    std::vector<Ipv4Endpoint> peers;
     std::uint32_t memoryMegabytes = 256;
     // Time within which a configuration must be in force.
     std::chrono::milliseconds configBound { 3000 };
--- a/apps/anvilwalk-edge/ViewKeeper.cpp
+++ b/apps/anvilwalk-edge/ViewKeeper.cpp
@@ -45,7 +45,8 @@
         names.push_back(entry.name);
     }
     m_keeper.m_targets.retainOnly(names, version, now);
-    hasSnapshot = true;
+    m_keeper.m_hasTargets = true;
+    m_keeper.m_hasStoreTargets = true;
     m_keeper.m_log.write(EventKind::Store, "targets_listed", logField("version", version.value()),
         logField("entries", entries.size()), logField("targets", m_keeper.m_targets.size()));
     m_keeper.updateCurrency();
@@ -68,7 +69,6 @@
 
 void ViewKeeper::RouteObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
 {
-    hasSnapshot = true;
     onChanges(entries, version);
 }
 
@@ -80,6 +80,55 @@
     }
 }
 
+ViewSnapshot ViewKeeper::snapshot() const
+{
+    return { .routes = m_router.routes(),
+        .targets = m_targets.present(m_clock.now()),
+        .targetsVersion = targetsVersion(),
+        .targetsAge = targetsAge() };
+}
+
+KnownVersions ViewKeeper::knownVersions() const
+{
+    const RouteTablePointer& routes = m_router.routes();
+    return { .targets = m_hasTargets ? targetsVersion() : StoreVersion(),
+        .config = routes ? routes->version() : ConfigVersion() };
+}
+
+void ViewKeeper::onPeerView(const ViewSnapshot& view, const Ipv4Endpoint& peer)
+{
+    const KnownVersions known = knownVersions();
+    if (view.targetsVersion > known.targets)
+        takePeerTargets(view);
+    if (view.routes->version() > known.config)
+        m_router.setRoutes(view.routes);
+    ++m_peerViewsTaken;
+    m_log.write(EventKind::Store, "peer_view_taken", logField("peer", peer.toString()),
+        logField("targets_version", view.targetsVersion.value()), logField("known_version", known.targets.value()),
+        logField("age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(view.targetsAge).count()),
+        logField("config_version", view.routes->version().value()), logField("targets", view.targets.size()));
+}
+
+void ViewKeeper::takePeerTargets(const ViewSnapshot& view)
+{
+    const MonotonicTime now = m_clock.now();
+    std::vector<std::string> names;
+    for (const VersionedTarget& target : view.targets) {
+        m_targets.put(target.record, target.version, now);
+        names.push_back(target.record.name);
+    }
+    m_targets.retainOnly(names, view.targetsVersion, now);
+    m_targetObserver.answeredVersion = view.targetsVersion;
+    m_targetObserver.answeredAt = now - view.targetsAge;
+    m_hasTargets = true;
+}
+
+void ViewKeeper::onPeerFailure(const Ipv4Endpoint& peer, const Error& error)
+{
+    m_log.write(EventKind::Store, "peer_failed", logField("peer", peer.toString()),
+        logField("error", std::string_view(error.message)));
+}
+
 void ViewKeeper::putTarget(const StoreEntry& entry, MonotonicTime now)
 {
     const auto* record = std::get_if<TargetRecord>(&entry.content);
@@ -112,9 +161,6 @@
         logField("routes", m_router.routes()->routes().size()));
 }
 
-void ViewKeeper::updateCurrency()
-{
-    m_router.setViewCurrent(m_targetObserver.hasSnapshot && m_targetObserver.inContact);
-}
+void ViewKeeper::updateCurrency() { m_router.setViewCurrent(m_hasStoreTargets && m_targetObserver.inContact); }
 
 } // namespace anvilwalk
--- a/apps/anvilwalk-edge/ViewKeeper.h
+++ b/apps/anvilwalk-edge/ViewKeeper.h
@@ -5,18 +5,29 @@
 #include <anvilwalk/placement.h>
 #include <anvilwalk/units.h>
 
+#include <cstdint>
+
 namespace anvilwalk {
 
-// Puts what the store says into the catalogue of targets and the router, and logs each change.
-class ViewKeeper {
+// Puts what the store says into the catalogue of targets and the router, and logs each change. While the store does not
+// answer, takes what peers say.
+class ViewKeeper final : public PeerViewObserver {
 public:
     ViewKeeper(TargetCatalogue&, TokenRouter&, EventLog&, const Clock&);
 
     StoreFeedObserver& targetObserver() { return m_targetObserver; }
     StoreFeedObserver& routeObserver() { return m_routeObserver; }
 
-    // Targets and routes have been read once.
-    bool isComplete() const { return m_targetObserver.hasSnapshot && m_router.routes() != nullptr; }
+    // Targets and routes are known.
+    bool isComplete() const { return m_hasTargets && m_router.routes() != nullptr; }
+    // The view for a peer; only if it is complete.
+    ViewSnapshot snapshot() const;
+    std::uint64_t peerViewsTaken() const { return m_peerViewsTaken; }
+
+    bool wantsPeerView() const override { return !m_targetObserver.inContact || !m_routeObserver.inContact; }
+    KnownVersions knownVersions() const override;
+    void onPeerView(const ViewSnapshot&, const Ipv4Endpoint& peer) override;
+    void onPeerFailure(const Ipv4Endpoint& peer, const Error&) override;
 
     // Version of the store at the last answer about targets, and how long ago that was.
     StoreVersion targetsVersion() const { return m_targetObserver.answeredVersion; }
@@ -36,7 +47,6 @@
         void onAnswer(StoreVersion) override;
         void onFailure(const Error&) override;
 
-        bool hasSnapshot = false;
         bool inContact = false;
         // Version and time of the last answer.
         StoreVersion answeredVersion;
@@ -63,6 +73,7 @@
 
     void putTarget(const StoreEntry&, MonotonicTime now);
     void putRoutes(const StoreEntry&);
+    void takePeerTargets(const ViewSnapshot&);
     void updateCurrency();
 
     TargetCatalogue& m_targets;
@@ -71,6 +82,11 @@
     const Clock& m_clock;
     TargetObserver m_targetObserver;
     RouteObserver m_routeObserver;
+    // All targets have been read, from the store or a peer.
+    bool m_hasTargets = false;
+    // All targets have been read from the store.
+    bool m_hasStoreTargets = false;
+    std::uint64_t m_peerViewsTaken = 0;
 };
 
 } // namespace anvilwalk
--- a/apps/anvilwalk-edge/main.cpp
+++ b/apps/anvilwalk-edge/main.cpp
@@ -5,6 +5,7 @@
 #include <platform/PacketCodec.h>
 #include <platform/TokenPacketFormat.h>
 
+#include <anvilwalk/discovery.h>
 #include <anvilwalk/eventlog.h>
 
 #include <boost/asio/io_context.hpp>
@@ -40,10 +41,23 @@
     platform::ObjectApiReader routes(
         { .store = settings.storeAddress, .kind = platform::routesKind, .decode = &platform::decodeRoutesObject },
         context);
+    HttpPeerReader peers(HttpPeerReaderOptions {}, context);
+    const auto peerList = [settingsPath, known = settings.peers]() mutable {
+        // The file may change without a signal. Faults are logged when it is reloaded.
+        const auto reread = loadEdgeSettings(settingsPath);
+        if (const auto* current = std::get_if<EdgeSettings>(&reread))
+            known = current->peers;
+        return known;
+    };
     const platform::TokenPacketFormat packets;
     EdgeBalancer balancer(settings, context,
-        { .packets = packets, .targets = targets, .routes = routes, .readyPath = platform::readyPath }, log, writer,
-        clock);
+        { .packets = packets,
+            .targets = targets,
+            .routes = routes,
+            .peers = peers,
+            .peerList = peerList,
+            .readyPath = platform::readyPath },
+        log, writer, clock);
     balancer.onReload([&] {
         const auto reread = loadEdgeSettings(settingsPath);
         const bool valid = std::holds_alternative<EdgeSettings>(reread);
--- /dev/null
+++ b/packages/discovery/src/HttpGetClient.cpp
@@ -0,0 +1,92 @@
+#include <anvilwalk/discovery/HttpGetClient.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace anvilwalk {
+
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = boost::beast::http;
+    using tcp = asio::ip::tcp;
+
+    constexpr unsigned httpVersion11 = 11;
+
+    Error unavailable(std::string message) { return { .code = ErrorCode::Unavailable, .message = std::move(message) }; }
+
+} // namespace
+
+class HttpGetClient::Connection {
+public:
+    Connection(asio::io_context& context, const HttpGetClientOptions& options)
+        : m_stream(context)
+        , m_options(options)
+    {
+    }
+
+    asio::awaitable<boost::system::error_code> open()
+    {
+        boost::system::error_code error;
+        m_stream.expires_after(m_options.connectTimeout);
+        const tcp::endpoint endpoint(asio::ip::address_v4(m_options.server.address.value), m_options.server.port);
+        co_await m_stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+            m_stream.socket().set_option(tcp::no_delay(true), error);
+        co_return error;
+    }
+
+    asio::awaitable<boost::system::error_code> exchange(const http::request<http::empty_body>& request,
+        http::response<http::string_body>& response, std::chrono::milliseconds timeout)
+    {
+        boost::system::error_code error;
+        m_stream.expires_after(timeout);
+        co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return error;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(m_options.maxBodyBytes);
+        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+            response = parser.release();
+        co_return error;
+    }
+
+private:
+    beast::tcp_stream m_stream;
+    const HttpGetClientOptions& m_options;
+    beast::flat_buffer m_buffer;
+};
+
+HttpGetClient::HttpGetClient(const HttpGetClientOptions& options, asio::io_context& context)
+    : m_options(options)
+    , m_context(context)
+{
+}
+
+HttpGetClient::~HttpGetClient() = default;
+
+asio::awaitable<Result<HttpAnswer>> HttpGetClient::get(std::string target, std::chrono::milliseconds timeout)
+{
+    // Taken over until the call succeeds, so that a failed one leaves no connection behind.
+    auto connection = std::exchange(m_connection, nullptr);
+    if (!connection) {
+        connection = std::make_unique<Connection>(m_context, m_options);
+        if (const auto error = co_await connection->open())
+            co_return unavailable("connect: " + error.message());
+    }
+    http::request<http::empty_body> request(http::verb::get, target, httpVersion11);
+    request.set(http::field::host, m_options.server.toString());
+    http::response<http::string_body> response;
+    if (const auto error = co_await connection->exchange(request, response, timeout))
+        co_return unavailable("GET " + target + ": " + error.message());
+    if (response.keep_alive())
+        m_connection = std::move(connection);
+    co_return HttpAnswer { .status = response.result_int(), .body = std::move(response.body()) };
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/discovery/src/HttpPeerReader.cpp
@@ -0,0 +1,77 @@
+#include <anvilwalk/discovery/HttpPeerReader.h>
+
+#include <anvilwalk/discovery/HttpGetClient.h>
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace anvilwalk {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::string_view viewPrefix = "/v1/view/";
+
+    constexpr unsigned httpOk = 200;
+    constexpr unsigned httpNotModified = 304;
+
+    std::optional<std::uint64_t> parseNumber(std::string_view text)
+    {
+        std::uint64_t number = 0;
+        const char* end = text.data() + text.size();
+        const auto [stop, error] = std::from_chars(text.data(), end, number);
+        if (text.empty() || error != std::errc() || stop != end)
+            return std::nullopt;
+        return number;
+    }
+
+} // namespace
+
+std::string viewPath(const KnownVersions& known)
+{
+    return fmt::format("{}{}/{}", viewPrefix, known.targets.value(), known.config.value());
+}
+
+std::optional<KnownVersions> parseViewPath(std::string_view path)
+{
+    if (!path.starts_with(viewPrefix))
+        return std::nullopt;
+    path.remove_prefix(viewPrefix.size());
+    const std::size_t slash = path.find('/');
+    if (slash == std::string_view::npos)
+        return std::nullopt;
+    const auto targets = parseNumber(path.substr(0, slash));
+    const auto config = parseNumber(path.substr(slash + 1));
+    if (!targets || !config)
+        return std::nullopt;
+    return KnownVersions { .targets = StoreVersion(*targets), .config = ConfigVersion(*config) };
+}
+
+HttpPeerReader::HttpPeerReader(const HttpPeerReaderOptions& options, asio::io_context& context)
+    : m_options(options)
+    , m_context(context)
+{
+}
+
+asio::awaitable<Result<std::optional<ViewSnapshot>>> HttpPeerReader::read(
+    const Ipv4Endpoint& peer, const KnownVersions& known)
+{
+    HttpGetClient client(
+        { .server = peer, .connectTimeout = m_options.connectTimeout, .maxBodyBytes = m_options.maxViewBytes },
+        m_context);
+    const Result<HttpAnswer> answer = co_await client.get(viewPath(known), m_options.answerTimeout);
+    if (!isOk(answer))
+        co_return errorOf(answer);
+    if (valueOf(answer).status == httpNotModified)
+        co_return std::nullopt;
+    if (valueOf(answer).status != httpOk)
+        co_return Error { .code = ErrorCode::Unavailable,
+            .message = fmt::format("the peer has no view (status {})", valueOf(answer).status) };
+    Result<ViewSnapshot> view = decodeView(valueOf(answer).body);
+    if (!isOk(view))
+        co_return errorOf(view);
+    co_return std::move(valueOf(view));
+}
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/discovery/src/ViewSnapshot.cpp
@@ -0,0 +1,169 @@
+#include <anvilwalk/discovery/ViewSnapshot.h>
+
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace anvilwalk {
+
+namespace {
+
+    using nlohmann::json;
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+
+    // Raised when the meaning of a field changes, so that balancers of two releases do not misread each other.
+    constexpr int formatVersion = 1;
+
+    json encodeService(const WeightedService& service)
+    {
+        return { { "name", service.service.value() }, { "weight", service.weight } };
+    }
+
+    json encodeRoute(const Route& route)
+    {
+        json services = json::array();
+        for (const WeightedService& service : route.services)
+            services.push_back(encodeService(service));
+        return { { "name", route.name }, { "address", route.address.address.toString() },
+            { "port", route.address.port }, { "services", std::move(services) } };
+    }
+
+    json encodeRoutes(const RouteTable& table)
+    {
+        json routes = json::array();
+        for (const Route& route : table.routes())
+            routes.push_back(encodeRoute(route));
+        return { { "version", table.version().value() }, { "idle_timeout_ms", table.idleTimeout().count() },
+            { "routes", std::move(routes) } };
+    }
+
+    json encodeTarget(const VersionedTarget& target)
+    {
+        const TargetRecord& record = target.record;
+        return { { "name", record.name }, { "version", target.version.value() }, { "key", record.key.value() },
+            { "started_ms", record.startedMs }, { "service", record.service.value() },
+            { "address", record.address.toString() }, { "data_centre", record.dataCentre.value() },
+            { "slots", record.slots }, { "draining", record.state == TargetState::Draining },
+            { "cold_ms", record.coldRemaining.count() } };
+    }
+
+    // The readers below throw on a missing field, one of another type or an impossible value; decodeView turns that
+    // into an error.
+    std::uint64_t readCount(const json& object, const char* name)
+    {
+        const json& value = object.at(name);
+        if (!value.is_number_unsigned())
+            throw std::invalid_argument(std::string("\"") + name + "\" is not a whole number");
+        return value.get<std::uint64_t>();
+    }
+
+    template <class Number> Number readNumber(const json& object, const char* name, Number least)
+    {
+        const std::uint64_t value = readCount(object, name);
+        if (value < least || value > std::numeric_limits<Number>::max())
+            throw std::invalid_argument(std::string("\"") + name + "\" is out of range");
+        return static_cast<Number>(value);
+    }
+
+    milliseconds readMilliseconds(const json& object, const char* name)
+    {
+        return milliseconds(readNumber<std::uint32_t>(object, name, 0));
+    }
+
+    std::string readText(const json& object, const char* name)
+    {
+        std::string text = object.at(name).get<std::string>();
+        if (text.empty())
+            throw std::invalid_argument(std::string("\"") + name + "\" is empty");
+        return text;
+    }
+
+    const json& readList(const json& object, const char* name)
+    {
+        const json& list = object.at(name);
+        if (!list.is_array())
+            throw std::invalid_argument(std::string("\"") + name + "\" is not a list");
+        return list;
+    }
+
+    Route readRoute(const json& object)
+    {
+        const auto address = Ipv4Address::parse(readText(object, "address"));
+        if (!address)
+            throw std::invalid_argument("a route without an address");
+        Route route { .name = object.at("name").get<std::string>(),
+            .address = { .address = *address, .port = readNumber<std::uint16_t>(object, "port", 1) },
+            .services = {} };
+        for (const json& service : readList(object, "services"))
+            route.services.push_back({ .service = ServiceName(readText(service, "name")),
+                .weight = readNumber<std::uint32_t>(service, "weight", 1) });
+        if (route.services.empty())
+            throw std::invalid_argument("a route without a service");
+        return route;
+    }
+
+    RouteTablePointer readRoutes(const json& object)
+    {
+        std::vector<Route> routes;
+        for (const json& route : readList(object, "routes"))
+            routes.push_back(readRoute(route));
+        return std::make_shared<const RouteTable>(ConfigVersion(readCount(object, "version")), std::move(routes),
+            readMilliseconds(object, "idle_timeout_ms"));
+    }
+
+    VersionedTarget readTarget(const json& object)
+    {
+        const auto address = Ipv4Endpoint::parse(readText(object, "address"));
+        if (!address)
+            throw std::invalid_argument("a target without an address");
+        TargetRecord record { .name = readText(object, "name"),
+            .key = TargetKey(readNumber<std::uint64_t>(object, "key", 1)),
+            .startedMs = readCount(object, "started_ms"),
+            .service = ServiceName(readText(object, "service")),
+            .address = *address,
+            .dataCentre = DataCentreId(readText(object, "data_centre")),
+            .slots = readNumber<std::uint32_t>(object, "slots", 1),
+            .state = object.at("draining").get<bool>() ? TargetState::Draining : TargetState::Ready,
+            .coldRemaining = readMilliseconds(object, "cold_ms") };
+        return { .record = std::move(record), .version = StoreVersion(readCount(object, "version")) };
+    }
+
+    ViewSnapshot readView(const json& object)
+    {
+        if (readCount(object, "format") != formatVersion)
+            throw std::invalid_argument("unknown format");
+        ViewSnapshot view { .routes = readRoutes(object.at("config")),
+            .targets = {},
+            .targetsVersion = StoreVersion(readCount(object, "targets_version")),
+            .targetsAge = readMilliseconds(object, "targets_age_ms") };
+        for (const json& target : readList(object, "targets"))
+            view.targets.push_back(readTarget(target));
+        return view;
+    }
+
+} // namespace
+
+std::string encodeView(const ViewSnapshot& view)
+{
+    json targets = json::array();
+    for (const VersionedTarget& target : view.targets)
+        targets.push_back(encodeTarget(target));
+    const json object = { { "format", formatVersion }, { "config", encodeRoutes(*view.routes) },
+        { "targets", std::move(targets) }, { "targets_version", view.targetsVersion.value() },
+        { "targets_age_ms", duration_cast<milliseconds>(view.targetsAge).count() } };
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<ViewSnapshot> decodeView(std::string_view text)
+{
+    try {
+        return readView(json::parse(text));
+    } catch (const std::exception& error) {
+        return Error { .code = ErrorCode::InvalidArgument,
+            .message = std::string("unreadable view of a peer: ") + error.what() };
+    }
+}
+
+} // namespace anvilwalk
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -34,6 +34,12 @@
     StoreVersion version;
 };
 
+// A target with the version of its entry in the store.
+struct VersionedTarget {
+    TargetRecord record;
+    StoreVersion version;
+};
+
 enum class TargetPresence : std::uint8_t {
     // The store lists the target.
     Listed,
@@ -96,6 +102,8 @@
     Target* find(FlowToken);
     // Listed and missing targets of a service, in an order that is equal on all balancers.
     const std::vector<Target*>& targetsOf(const ServiceName&);
+    // Listed and missing targets of all services, with their remaining cold time.
+    std::vector<VersionedTarget> present(MonotonicTime now) const;
     std::size_t size() const { return m_byName.size(); }
 
 private:
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -138,6 +138,19 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+std::vector<VersionedTarget> TargetCatalogue::present(MonotonicTime now) const
+{
+    std::vector<VersionedTarget> targets;
+    for (const auto& [name, target] : m_byName) {
+        if (target->presence == TargetPresence::Gone)
+            continue;
+        targets.push_back({ .record = target->record, .version = target->version });
+        const auto cold = std::chrono::duration_cast<std::chrono::milliseconds>(target->coldUntil - now);
+        targets.back().record.coldRemaining = std::max(cold, std::chrono::milliseconds(0));
+    }
+    return targets;
+}
+
 void TargetCatalogue::updateIndex()
 {
     if (std::exchange(m_indexCurrent, true))
--- /dev/null
+++ b/tests/discovery/HttpPeerReaderTest.cpp
@@ -0,0 +1,72 @@
+#include <anvilwalk/discovery.h>
+#include <fakes/PlacementScene.h>
+#include <fakes/ScriptedHttpServer.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+using namespace anvilwalk;
+using namespace anvilwalk::fakes;
+namespace asio = boost::asio;
+
+namespace {
+
+using PeerAnswer = Result<std::optional<ViewSnapshot>>;
+
+const KnownVersions known { .targets = StoreVersion(4), .config = ConfigVersion(2) };
+
+PeerAnswer readFrom(const std::string& answer, std::vector<std::string>* requests = nullptr)
+{
+    ScriptedHttpServer server({ answer });
+    asio::io_context context;
+    HttpPeerReader reader(HttpPeerReaderOptions {}, context);
+    std::optional<PeerAnswer> outcome;
+    const Ipv4Endpoint peer = server.endpoint();
+    asio::co_spawn(context, reader.read(peer, known), [&](const std::exception_ptr& thrown, PeerAnswer result) {
+        REQUIRE_FALSE(thrown);
+        outcome = std::move(result);
+    });
+    context.run();
+    REQUIRE(outcome);
+    if (requests != nullptr)
+        *requests = server.requests();
+    return *outcome;
+}
+
+std::string answer(const std::string& status, const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("HttpPeerReader tells the peer what is known and reads its view")
+{
+    std::vector<std::string> requests;
+    const std::string body = encodeView({ .routes = routeTable(3), .targets = {}, .targetsVersion = StoreVersion(9) });
+    const PeerAnswer read = readFrom(answer("200 OK", body), &requests);
+    REQUIRE(isOk(read));
+    REQUIRE(valueOf(read));
+    CHECK(valueOf(read)->targetsVersion == StoreVersion(9));
+    REQUIRE(requests.size() == 1);
+    CHECK(requests[0].find("GET /v1/view/4/2 HTTP/1.1") == 0);
+}
+
+TEST_CASE("HttpPeerReader tells no news, no view and nonsense apart")
+{
+    const PeerAnswer noNews = readFrom("HTTP/1.1 304 Not Modified\r\n\r\n");
+    REQUIRE(isOk(noNews));
+    CHECK_FALSE(valueOf(noNews));
+    CHECK(errorOf(readFrom(answer("503 Service Unavailable", ""))).code == ErrorCode::Unavailable);
+    CHECK(errorOf(readFrom(answer("200 OK", "{}"))).code == ErrorCode::InvalidArgument);
+    CHECK(errorOf(readFrom("")).code == ErrorCode::Unavailable);
+}
+
+TEST_CASE("The path of a view names both versions")
+{
+    CHECK(parseViewPath(viewPath(known)) == known);
+    for (const char* path : { "/", "/v1/view/", "/v1/view/1", "/v1/view/1/", "/v1/view/a/2", "/v1/view/1/2/3",
+             "/v1/view/-1/2", "/v1/view/99999999999999999999/1" })
+        CHECK_FALSE(parseViewPath(path));
+}
--- /dev/null
+++ b/tests/discovery/ViewSnapshotTest.cpp
@@ -0,0 +1,94 @@
+#include <anvilwalk/discovery.h>
+#include <fakes/PlacementScene.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace anvilwalk;
+using namespace anvilwalk::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+ViewSnapshot sampleView()
+{
+    TargetRecord draining = targetRecord(8, photoService, "lima-b", TargetState::Draining);
+    draining.coldRemaining = 700ms;
+    return { .routes = routeTable(7),
+        .targets = { { .record = targetRecord(5), .version = StoreVersion(41) },
+            { .record = draining, .version = StoreVersion(42) } },
+        .targetsVersion = StoreVersion(50),
+        .targetsAge = 1200ms };
+}
+
+} // namespace
+
+TEST_CASE("A view is the same after it was told to a peer")
+{
+    const auto decoded = decodeView(encodeView(sampleView()));
+    REQUIRE(isOk(decoded));
+    const ViewSnapshot& view = valueOf(decoded);
+    CHECK(view.targetsVersion == StoreVersion(50));
+    CHECK(view.targetsAge == 1200ms);
+    CHECK(view.routes->version() == ConfigVersion(7));
+    CHECK(view.routes->idleTimeout() == 15s);
+    REQUIRE(view.routes->find(photoAddress) != nullptr);
+    CHECK(view.routes->find(photoAddress)->services.at(0).service == photoService);
+    REQUIRE(view.targets.size() == 2);
+    const TargetRecord& draining = view.targets[1].record;
+    const TargetRecord expected = targetRecord(8, photoService, "lima-b");
+    CHECK(view.targets[1].version == StoreVersion(42));
+    CHECK(draining.name == expected.name);
+    CHECK(tokenOf(draining.key, draining.startedMs) == tokenOfTarget(8));
+    CHECK(draining.address == expected.address);
+    CHECK(draining.dataCentre == expected.dataCentre);
+    CHECK(draining.slots == expected.slots);
+    CHECK(draining.state == TargetState::Draining);
+    CHECK(draining.coldRemaining == 700ms);
+}
+
+// Guards against a view that is half taken over from a peer of another release, or from something that is no peer.
+TEST_CASE("A view with a field that is missing or impossible is refused as a whole")
+{
+    const auto whole = nlohmann::json::parse(encodeView(sampleView()));
+    for (const auto& [name, value] : whole.items()) {
+        auto without = whole;
+        without.erase(name);
+        INFO("without " << name);
+        CHECK_FALSE(isOk(decodeView(without.dump())));
+        auto other = whole;
+        other[name] = "?";
+        CHECK_FALSE(isOk(decodeView(other.dump())));
+    }
+    for (const auto& [name, value] : whole["targets"][0].items()) {
+        auto without = whole;
+        without["targets"][0].erase(name);
+        INFO("target without " << name);
+        CHECK_FALSE(isOk(decodeView(without.dump())));
+    }
+    for (const auto& [name, value] : whole["config"]["routes"][0].items()) {
+        auto without = whole;
+        without["config"]["routes"][0].erase(name);
+        INFO("route without " << name);
+        CHECK_FALSE(isOk(decodeView(without.dump())));
+    }
+    auto newer = whole;
+    newer["format"] = 2;
+    CHECK_FALSE(isOk(decodeView(newer.dump())));
+    for (const char* text : { "", "{", "[]", "null", "7" })
+        CHECK_FALSE(isOk(decodeView(text)));
+}
+
+// Guards against a crash on damaged bytes.
+TEST_CASE("Any change of a byte in a view gives a view or an error")
+{
+    const std::string text = encodeView(sampleView());
+    CHECK(rc::check("changed byte", [&] {
+        std::string changed = text;
+        changed[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+        const auto decoded = decodeView(changed);
+        if (isOk(decoded))
+            RC_ASSERT(valueOf(decoded).routes != nullptr);
+    }));
+}
--- a/tests/edge/EdgeSettingsTest.cpp
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -58,6 +58,32 @@
     CHECK(settings.stopDeadline == 2500ms);
 }
 
+TEST_CASE("parseEdgeSettings reads the addresses of peers")
+{
+    const std::string text = replaced(
+        "[store]", "peers = \"10.1.0.10:8166\"\n[peers]\nseeds = [\"10.2.0.40:8166\", \"10.3.0.7:8166\"]\n[store]");
+    const auto result = parseEdgeSettings(text, "edge.toml");
+    REQUIRE(std::holds_alternative<EdgeSettings>(result));
+    const auto& settings = std::get<EdgeSettings>(result);
+    REQUIRE(settings.peerAddress);
+    CHECK(settings.peerAddress->toString() == "10.1.0.10:8166");
+    REQUIRE(settings.peers.size() == 2);
+    CHECK(settings.peers[1].toString() == "10.3.0.7:8166");
+    CHECK(findingsOf(replaced("[store]", "[peers]\nseeds = [\"10.2.0.40\", 7]\n[store]")).all().size() == 2);
+    CHECK(findingsOf(replaced("[store]", "[peers]\nseeds = \"10.2.0.40:1\"\n[store]")).all().size() == 1);
+}
+
+// Guards against a balancer that does not start because its platform writes a bound as a fraction.
+TEST_CASE("parseEdgeSettings takes numbers with a fraction")
+{
+    std::string text = replaced("config_in_force_ms = 5000", "config_in_force_ms = 5000.0");
+    text.replace(text.find("memory_mb = 80"), 14, "memory_mb = 80.5");
+    const auto result = parseEdgeSettings(text, "edge.toml");
+    REQUIRE(std::holds_alternative<EdgeSettings>(result));
+    CHECK(std::get<EdgeSettings>(result).configBound == 5000ms);
+    CHECK(std::get<EdgeSettings>(result).memoryMegabytes == 80);
+}
+
 TEST_CASE("parseEdgeSettings reports all faults together")
 {
     std::string text = replaced("\"10.1.0.10:8167\"", "\"10.1.0.10\"");
