placement: one token for all runs of a target; grace of missing targets counts only time with the store

Ruled out: forwarding old tokens to the next run only where the restart was seen; a balancer that starts later never knew the earlier run and resets the flow as unknown after 2.5 s. Change: the token is made from the target's key alone. Activity of the earlier run is forgotten. And a draining target whose entry vanished after an outage was taken as ended at once, although it may live for many seconds.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -142,7 +142,7 @@
         return std::monostate {};
     m_peerServer = std::make_unique<EdgeHttpServer>(EdgeHttpServerOptions { .address = *m_settings.peerAddress },
         m_context, [this](std::string_view path) { return answerPeer(path); });
-    const Status status = m_peerServer->open();
+    Status status = m_peerServer->open();
     if (isOk(status))
         asio::co_spawn(m_context, m_peerServer->run(), asio::detached);
     return status;
--- a/apps/anvilwalk-edge/ViewKeeper.cpp
+++ b/apps/anvilwalk-edge/ViewKeeper.cpp
@@ -141,7 +141,7 @@
     m_targets.put(*record, entry.version, now);
     m_log.write(EventKind::Target, record->state == TargetState::Ready ? "ready" : "draining",
         logField("target", std::string_view(record->name)), logField("version", entry.version.value()),
-        logField("token", tokenOf(record->key, record->startedMs).value()),
+        logField("token", tokenOf(record->key).value()),
         logField("service", std::string_view(record->service.value())),
         logField("cold_ms", record->coldRemaining.count()));
 }
--- a/packages/placement/include/anvilwalk/placement/Target.h
+++ b/packages/placement/include/anvilwalk/placement/Target.h
@@ -31,7 +31,8 @@
     std::chrono::milliseconds coldRemaining { 0 };
 };
 
-// Token of one run of a target. Never 0, equal on all balancers.
-FlowToken tokenOf(TargetKey key, std::uint64_t startedMs);
+// Token of a target. Never 0, equal on all balancers. All runs under one name have the same: a flow may open at the
+// next run before a balancer hears of it, and that run itself resets flows that it does not hold.
+FlowToken tokenOf(TargetKey key);
 
 } // namespace anvilwalk
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -107,6 +107,7 @@
     std::size_t size() const { return m_byName.size(); }
 
 private:
+    MonotonicTime graceStart(const Target&) const;
     bool mayHaveLapsed(std::size_t removed, MonotonicTime now) const;
     void markAbsent(Target&, bool mayReturn, MonotonicTime now);
     // Brings the maps by token and service up to date; many entries change before the next packet needs them.
@@ -115,10 +116,8 @@
 
     TargetCatalogueOptions m_options;
     PlacementObserver& m_observer;
-    // The newest run of each name.
+    // The newest run of each target.
     absl::flat_hash_map<std::string, std::unique_ptr<Target>> m_byName;
-    // Runs that ended although their name is in use again.
-    std::vector<std::unique_ptr<Target>> m_replaced;
     bool m_indexCurrent = true;
     absl::flat_hash_map<FlowToken, Target*> m_byToken;
     absl::flat_hash_map<ServiceName, std::vector<Target*>> m_byService;
--- a/packages/placement/src/Target.cpp
+++ b/packages/placement/src/Target.cpp
@@ -1,14 +1,12 @@
 #include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/Target.h>
 
-#include <array>
-
 namespace anvilwalk {
 
-FlowToken tokenOf(TargetKey key, std::uint64_t startedMs)
+FlowToken tokenOf(TargetKey key)
 {
-    const std::array<std::uint64_t, 2> words { key.value(), startedMs };
-    const std::uint64_t hash = hashBytes(words.data(), sizeof(words));
+    const std::uint64_t word = key.value();
+    const std::uint64_t hash = hashBytes(&word, sizeof(word));
     const auto folded = static_cast<std::uint32_t>(hash ^ (hash >> 32U));
     return FlowToken(folded == 0 ? 1 : folded);
 }
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -31,16 +31,11 @@
     auto& slot = m_byName[record.name];
     if (slot && version <= slot->version)
         return;
-    const FlowToken token = tokenOf(record.key, record.startedMs);
-    if (slot && slot->token != token) {
-        // The same name runs anew: flows of the earlier run have ended with it.
-        markAbsent(*slot, false, now);
-        m_replaced.push_back(std::exchange(slot, nullptr));
-    }
-    if (!slot)
+    // A new run has done nothing yet.
+    if (!slot || slot->record.startedMs != record.startedMs)
         slot = std::make_unique<Target>();
     slot->record = record;
-    slot->token = token;
+    slot->token = tokenOf(record.key);
     slot->version = version;
     slot->presence = TargetPresence::Listed;
     slot->coldUntil = now + record.coldRemaining;
@@ -71,7 +66,7 @@
         target.version = entry.version;
         if (target.presence != TargetPresence::Listed)
             continue;
-        markAbsent(target, uncertain && target.record.state == TargetState::Ready, now);
+        markAbsent(target, uncertain, now);
         changed = true;
     }
     if (changed)
@@ -104,11 +99,17 @@
     m_observer.onAbsent(target);
 }
 
+MonotonicTime TargetCatalogue::graceStart(const Target& target) const
+{
+    // A running target cannot renew its entry while the store is away.
+    return m_hadOutage ? std::max(target.absentSince, m_lastOutage) : target.absentSince;
+}
+
 void TargetCatalogue::expire(MonotonicTime now)
 {
     bool changed = false;
     for (auto& [name, target] : m_byName) {
-        if (target->presence != TargetPresence::Missing || now - target->absentSince < m_options.missingGrace)
+        if (target->presence != TargetPresence::Missing || now - graceStart(*target) < m_options.missingGrace)
             continue;
         markAbsent(*target, false, now);
         changed = true;
@@ -116,10 +117,9 @@
     const auto forgettable = [&](const Target& target) {
         return target.presence == TargetPresence::Gone && now - target.absentSince >= m_options.goneRetention;
     };
-    const std::size_t before = m_byName.size() + m_replaced.size();
-    absl::erase_if(m_byName, [&](const auto& entry) { return forgettable(*entry.second); });
-    std::erase_if(m_replaced, [&](const auto& target) { return forgettable(*target); });
-    if (changed || before != m_byName.size() + m_replaced.size())
+    const std::size_t forgotten
+        = absl::erase_if(m_byName, [&](const auto& entry) { return forgettable(*entry.second); });
+    if (changed || forgotten > 0)
         m_indexCurrent = false;
 }
 
@@ -157,8 +157,6 @@
         return;
     m_byToken.clear();
     // A listed target wins a token over one that has ended, and an earlier one over a later.
-    for (const auto& target : m_replaced)
-        m_byToken.emplace(target->token, target.get());
     for (const auto& [name, target] : m_byName) {
         target->tokenTaken = false;
         auto [at, inserted] = m_byToken.emplace(target->token, target.get());
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -83,6 +83,20 @@
             DropReason::TargetGone));
 }
 
+// Guards against a reset of a flow that opened at the next run of a target before this balancer heard of that run. A
+// flow of the earlier run is reset by the target itself, which does not hold it.
+TEST_CASE("TokenRouter goes on forwarding to a target that has started again under its name")
+{
+    PlacementScene scene;
+    scene.put(targetRecord(1));
+    const auto token = scene.open(flowKey(1));
+    REQUIRE(token);
+    TargetRecord again = targetRecord(1);
+    again.startedMs += 5000;
+    scene.put(again);
+    CHECK(std::holds_alternative<ForwardToTarget>(scene.sendData(flowKey(1), *token)));
+}
+
 // Guards against a reset of a live flow by a balancer whose view is behind that of the one that placed it.
 TEST_CASE("TokenRouter is silent about an unknown token until its view must have the target")
 {
@@ -154,8 +168,9 @@
     PlacementScene scene;
     TargetRecord first = targetRecord(1);
     TargetRecord later = targetRecord(1);
-    // Equal key and start give equal tokens, as two colliding targets have.
+    // Equal keys give equal tokens, as two colliding targets have.
     later.name = "j-1";
+    later.startedMs += 1;
     later.service = photoService;
     scene.put(first);
     scene.put(later);
