placement, discovery: only a current answer of the store after the grace decides that a target has ended

Ruled out: a longer grace (the outage can be of any length). Change: a missing target is taken as gone, and an unknown token reset, only when the store has answered currently, 2.5 s or more after it was first seen so. While such a decision is pending, the feed's watch is short (2.6 s) and not stale; otherwise it stays long and stale, so calls cost what they did. Tests failed before.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -67,6 +67,14 @@
         return options;
     }
 
+    StoreFeedOptions targetFeedOptions(const EdgeSettings& settings)
+    {
+        StoreFeedOptions options = feedOptions(settings, "targets");
+        // A target tells of its end in time, and one that is not known yet is found by the balancers that know it.
+        options.staleWatches = true;
+        return options;
+    }
+
 } // namespace
 
 EdgeBalancer::EdgeBalancer(const EdgeSettings& settings, asio::io_context& context, const EdgePlatform& platform,
@@ -100,7 +108,7 @@
                   return std::nullopt;
               return HttpReply { .body = currentMetrics() };
           })
-    , m_targetFeed(feedOptions(settings, "targets"), context, platform.targets, m_view.targetObserver())
+    , m_targetFeed(targetFeedOptions(settings), context, platform.targets, m_view.targetObserver())
     , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver())
     , m_peerFeed({ .self = settings.peerAddress.value_or(Ipv4Endpoint {}),
                      .seed = hashText(settings.balancer.value(), hashText("peers")) },
--- a/apps/anvilwalk-edge/ViewKeeper.cpp
+++ b/apps/anvilwalk-edge/ViewKeeper.cpp
@@ -21,7 +21,7 @@
     m_keeper.updateCurrency();
 }
 
-void ViewKeeper::FeedObserver::onAnswer(StoreVersion version)
+void ViewKeeper::FeedObserver::onAnswer(StoreVersion version, ReadFreshness)
 {
     answeredVersion = std::max(answeredVersion, version);
     answeredAt = m_keeper.m_clock.now();
@@ -36,6 +36,20 @@
     m_keeper.updateCurrency();
 }
 
+void ViewKeeper::TargetObserver::onAnswer(StoreVersion version, ReadFreshness freshness)
+{
+    FeedObserver::onAnswer(version, freshness);
+    if (freshness != ReadFreshness::Current)
+        return;
+    m_keeper.m_targets.noteStoreAnswer(answeredAt);
+    m_keeper.m_router.noteStoreAnswer(answeredAt);
+}
+
+bool ViewKeeper::TargetObserver::expectsChanges() const
+{
+    return m_keeper.m_targets.hasMissing() || m_keeper.m_router.hasUnknownTokens();
+}
+
 void ViewKeeper::TargetObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
 {
     const MonotonicTime now = m_keeper.m_clock.now();
@@ -141,8 +155,7 @@
     m_targets.put(*record, entry.version, now);
     m_log.write(EventKind::Target, record->state == TargetState::Ready ? "ready" : "draining",
         logField("target", std::string_view(record->name)), logField("version", entry.version.value()),
-        logField("token", tokenOf(record->key).value()),
-        logField("service", std::string_view(record->service.value())),
+        logField("token", tokenOf(record->key).value()), logField("service", std::string_view(record->service.value())),
         logField("cold_ms", record->coldRemaining.count()));
 }
 
--- a/apps/anvilwalk-edge/ViewKeeper.h
+++ b/apps/anvilwalk-edge/ViewKeeper.h
@@ -44,7 +44,7 @@
         {
         }
         void onContact() override;
-        void onAnswer(StoreVersion) override;
+        void onAnswer(StoreVersion, ReadFreshness) override;
         void onFailure(const Error&) override;
 
         bool inContact = false;
@@ -60,6 +60,8 @@
     class TargetObserver final : public FeedObserver {
     public:
         using FeedObserver::FeedObserver;
+        void onAnswer(StoreVersion, ReadFreshness) override;
+        bool expectsChanges() const override;
         void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) override;
         void onChanges(const std::vector<StoreEntry>&, StoreVersion) override;
     };
--- a/apps/anvilwalk-edge/main.cpp
+++ b/apps/anvilwalk-edge/main.cpp
@@ -33,10 +33,8 @@
     logOptions.balancer = settings.balancer.value();
     EventLog log(logOptions, writer, clock);
     boost::asio::io_context context(1);
-    platform::ObjectApiReader targets({ .store = settings.storeAddress,
-                                          .kind = platform::targetsKind,
-                                          .decode = &platform::decodeTargetObject,
-                                          .staleWatches = true },
+    platform::ObjectApiReader targets(
+        { .store = settings.storeAddress, .kind = platform::targetsKind, .decode = &platform::decodeTargetObject },
         context);
     platform::ObjectApiReader routes(
         { .store = settings.storeAddress, .kind = platform::routesKind, .decode = &platform::decodeRoutesObject },
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -25,7 +25,9 @@
     // The store answered a call after it had not, or for the first time.
     virtual void onContact() = 0;
     // The store answered a call; its version then. Called before what the answer brings.
-    virtual void onAnswer(StoreVersion) = 0;
+    virtual void onAnswer(StoreVersion, ReadFreshness) = 0;
+    // Whether entries are about to return or to be given up, so that the next watch must be short and current.
+    virtual bool expectsChanges() const { return false; }
     // A call failed. Called for each failure.
     virtual void onFailure(const Error&) = 0;
 };
@@ -33,6 +35,10 @@
 struct StoreFeedOptions {
     // Longest wait of one watch. A connection that the store answers no more is noticed at its end.
     std::chrono::milliseconds watchWait { 5000 };
+    // The same while changes are expected; a little over the time after which missing targets are given up.
+    std::chrono::milliseconds expectantWait { 2600 };
+    // Watches may be answered from a copy that is behind, unless changes are expected.
+    bool staleWatches = false;
     // Pause after a watch that brought changes; those that follow closely come with one call.
     std::chrono::milliseconds changePause { 500 };
     // First pause after a failed call; doubles with each failure up to the limit.
@@ -54,7 +60,7 @@
     boost::asio::awaitable<bool> takeSnapshot();
     boost::asio::awaitable<bool> takeChanges();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds);
-    void noteSuccess(StoreVersion);
+    void noteSuccess(StoreVersion, ReadFreshness);
     void noteFailure(const Error&);
     std::chrono::milliseconds nextRetryPause();
 
--- a/packages/discovery/include/anvilwalk/discovery/StoreReader.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreReader.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -42,6 +43,12 @@
     StoreVersion version;
 };
 
+// Whether an answer may come from a copy that is seconds behind; such answers cost less.
+enum class ReadFreshness : std::uint8_t {
+    Current,
+    MayBeStale,
+};
+
 // Reads one kind of entry from the platform's store. Calls are made one after the other.
 // Errors: Gone (the store no longer has the history asked for), Unavailable (no usable answer; nothing was changed).
 class StoreReader {
@@ -51,7 +58,9 @@
     // Entries whose names come after the given one, in order of their names. Empty: from the start.
     virtual boost::asio::awaitable<Result<StorePage>> list(std::string after) = 0;
     // Changes after a version; waits up to the given time for the first.
-    virtual boost::asio::awaitable<Result<StoreChanges>> watch(StoreVersion from, std::chrono::milliseconds wait) = 0;
+    virtual boost::asio::awaitable<Result<StoreChanges>> watch(
+        StoreVersion from, std::chrono::milliseconds wait, ReadFreshness)
+        = 0;
 };
 
 } // namespace anvilwalk
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -70,7 +70,7 @@
         after = last;
         std::move(page.entries.begin(), page.entries.end(), std::back_inserter(entries));
     }
-    noteSuccess(version);
+    noteSuccess(version, ReadFreshness::Current);
     m_version = std::max(m_version, version);
     m_hasSnapshot = true;
     m_observer.onSnapshot(entries, version);
@@ -79,7 +79,10 @@
 
 asio::awaitable<bool> StoreFeed::takeChanges()
 {
-    auto result = co_await m_reader.watch(m_version, m_options.watchWait);
+    const bool expectant = m_observer.expectsChanges();
+    const auto wait = expectant ? std::min(m_options.watchWait, m_options.expectantWait) : m_options.watchWait;
+    const auto freshness = m_options.staleWatches && !expectant ? ReadFreshness::MayBeStale : ReadFreshness::Current;
+    auto result = co_await m_reader.watch(m_version, wait, freshness);
     if (!isOk(result)) {
         // The store may have made changes without reporting them on this watch, and dropped their history since; only
         // a new list shows them for certain.
@@ -88,7 +91,7 @@
         co_return false;
     }
     const StoreChanges& changes = valueOf(result);
-    noteSuccess(changes.version);
+    noteSuccess(changes.version, freshness);
     m_version = std::max(m_version, changes.version);
     if (changes.entries.empty())
         co_return true;
@@ -104,10 +107,10 @@
     co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
 }
 
-void StoreFeed::noteSuccess(StoreVersion version)
+void StoreFeed::noteSuccess(StoreVersion version, ReadFreshness freshness)
 {
     m_retryPause = m_options.retryPause;
-    m_observer.onAnswer(version);
+    m_observer.onAnswer(version, freshness);
     if (!std::exchange(m_inContact, true))
         m_observer.onContact();
 }
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -95,7 +95,11 @@
         m_lastOutage = now;
         m_hadOutage = true;
     }
-    // Ends the grace of missing targets and forgets gone ones.
+    // The store answered a call about targets with what is true now.
+    void noteStoreAnswer(MonotonicTime now) { m_lastAnswer = now; }
+    // Whether a target is missing, so that the store's next answer decides about it.
+    bool hasMissing() const;
+    // Takes missing targets as gone whose grace has passed, if the store has answered since, and forgets gone ones.
     void expire(MonotonicTime now);
 
     // The target with a token, listed, missing or gone; null if unknown.
@@ -107,7 +111,7 @@
     std::size_t size() const { return m_byName.size(); }
 
 private:
-    MonotonicTime graceStart(const Target&) const;
+    bool hasGraceEnded(const Target&, MonotonicTime now) const;
     bool mayHaveLapsed(std::size_t removed, MonotonicTime now) const;
     void markAbsent(Target&, bool mayReturn, MonotonicTime now);
     // Brings the maps by token and service up to date; many entries change before the next packet needs them.
@@ -122,6 +126,7 @@
     absl::flat_hash_map<FlowToken, Target*> m_byToken;
     absl::flat_hash_map<ServiceName, std::vector<Target*>> m_byService;
     MonotonicTime m_lastOutage;
+    MonotonicTime m_lastAnswer;
     bool m_hadOutage = false;
 };
 
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -13,7 +13,8 @@
 namespace anvilwalk {
 
 struct TokenRouterOptions {
-    // A token that stays unknown for this long belongs to a target that ended before this balancer started.
+    // A token that is still unknown in an answer of the store after this time belongs to a target that ended before
+    // this balancer started.
     std::chrono::milliseconds unknownTokenGrace { 2500 };
     // Unknown tokens that are remembered; forged ones could be without number.
     std::size_t maxUnknownTokens = 1024;
@@ -40,6 +41,11 @@
     // Whether the view of targets is complete and current, so that an unknown token means a target that has ended.
     void setViewCurrent(bool current) { m_viewCurrent = current; }
 
+    // The store answered a call about targets with what is true now.
+    void noteStoreAnswer(MonotonicTime now) { m_lastAnswer = now; }
+    // Whether packets have come whose tokens name no known target, and the store's next answer decides about them.
+    bool hasUnknownTokens() const;
+
     Decision route(const PacketView&, MonotonicTime now) override;
     void expire(MonotonicTime now);
     const TokenRouterCounters& counters() const { return m_counters; }
@@ -50,6 +56,8 @@
     Decision routeUnknownToken(const PacketFields&, MonotonicTime now);
     Decision reset(const PacketFields&, DropReason);
     Decision drop(const PacketFields&, DropReason);
+    // Whether the store has answered since a token was first seen, late enough to name its target.
+    bool isDecided(MonotonicTime firstSeen) const { return m_lastAnswer - firstSeen >= m_options.unknownTokenGrace; }
 
     TokenRouterOptions m_options;
     TargetCatalogue& m_targets;
@@ -58,6 +66,7 @@
     PlacementObserver& m_observer;
     RouteTablePointer m_routes;
     bool m_viewCurrent = false;
+    MonotonicTime m_lastAnswer;
     // First packet with a token that names no known target.
     absl::flat_hash_map<FlowToken, MonotonicTime> m_unknownSince;
     TokenRouterCounters m_counters;
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -99,17 +99,25 @@
     m_observer.onAbsent(target);
 }
 
-MonotonicTime TargetCatalogue::graceStart(const Target& target) const
+bool TargetCatalogue::hasMissing() const
 {
-    // A running target cannot renew its entry while the store is away.
-    return m_hadOutage ? std::max(target.absentSince, m_lastOutage) : target.absentSince;
+    return std::any_of(m_byName.begin(), m_byName.end(),
+        [](const auto& entry) { return entry.second->presence == TargetPresence::Missing; });
+}
+
+bool TargetCatalogue::hasGraceEnded(const Target& target, MonotonicTime now) const
+{
+    // A running target cannot renew its entry while the store is away. That the store has been there all the time shows
+    // only in an answer after the grace.
+    const MonotonicTime start = m_hadOutage ? std::max(target.absentSince, m_lastOutage) : target.absentSince;
+    return now - start >= m_options.missingGrace && m_lastAnswer - start >= m_options.missingGrace;
 }
 
 void TargetCatalogue::expire(MonotonicTime now)
 {
     bool changed = false;
     for (auto& [name, target] : m_byName) {
-        if (target->presence != TargetPresence::Missing || now - graceStart(*target) < m_options.missingGrace)
+        if (target->presence != TargetPresence::Missing || !hasGraceEnded(*target, now))
             continue;
         markAbsent(*target, false, now);
         changed = true;
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -1,5 +1,6 @@
 #include <anvilwalk/placement/TokenRouter.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilwalk {
@@ -104,7 +105,7 @@
         return drop(fields, DropReason::UnknownToken);
     const auto found = m_unknownSince.find(fields.token);
     if (found != m_unknownSince.end()) {
-        if (now - found->second >= m_options.unknownTokenGrace)
+        if (isDecided(found->second))
             return reset(fields, DropReason::UnknownToken);
     } else if (m_unknownSince.size() < m_options.maxUnknownTokens) {
         m_unknownSince.emplace(fields.token, now);
@@ -112,6 +113,12 @@
     return drop(fields, DropReason::UnknownToken);
 }
 
+bool TokenRouter::hasUnknownTokens() const
+{
+    return std::any_of(
+        m_unknownSince.begin(), m_unknownSince.end(), [&](const auto& entry) { return !isDecided(entry.second); });
+}
+
 Decision TokenRouter::reset(const PacketFields& fields, DropReason reason)
 {
     if (fields.reset)
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -41,9 +41,12 @@
         co_return page;
     }
 
-    asio::awaitable<Result<StoreChanges>> watch(StoreVersion from, std::chrono::milliseconds) override
+    asio::awaitable<Result<StoreChanges>> watch(
+        StoreVersion from, std::chrono::milliseconds wait, ReadFreshness freshness) override
     {
         calls.push_back("watch " + std::to_string(from.value()));
+        waits.push_back(wait);
+        freshnesses.push_back(freshness);
         if (changes.empty()) {
             m_context.stop();
             co_return unavailable;
@@ -56,6 +59,8 @@
     std::deque<Result<StorePage>> pages;
     std::deque<Result<StoreChanges>> changes;
     std::vector<std::string> calls;
+    std::vector<std::chrono::milliseconds> waits;
+    std::vector<ReadFreshness> freshnesses;
 
 private:
     asio::io_context& m_context;
@@ -68,13 +73,15 @@
     }
     void onChanges(const std::vector<StoreEntry>& entries, StoreVersion) override { changes.push_back(entries.size()); }
     void onContact() override { ++contacts; }
-    void onAnswer(StoreVersion) override { }
+    void onAnswer(StoreVersion, ReadFreshness) override { }
     void onFailure(const Error&) override { ++failures; }
+    bool expectsChanges() const override { return expectant; }
 
     std::vector<std::size_t> snapshots;
     std::vector<std::size_t> changes;
     int contacts = 0;
     int failures = 0;
+    bool expectant = false;
 };
 
 struct Fixture {
@@ -84,7 +91,8 @@
 
     void run()
     {
-        StoreFeed feed({ .changePause = 1ms, .retryPause = 1ms, .maxRetryPause = 2ms }, context, reader, observer);
+        StoreFeed feed({ .staleWatches = true, .changePause = 1ms, .retryPause = 1ms, .maxRetryPause = 2ms }, context,
+            reader, observer);
         asio::co_spawn(context, feed.run(), asio::detached);
         context.run_for(5s);
     }
@@ -152,3 +160,22 @@
     fixture.run();
     CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "watch 9", "watch 9" });
 }
+
+// Guards against a target that is given up, or kept, on the word of an answer that is old or comes late.
+TEST_CASE("StoreFeed watches shortly and currently while changes are expected")
+{
+    Fixture fixture;
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
+    fixture.run();
+    REQUIRE(fixture.reader.waits.size() == 1);
+    CHECK(fixture.reader.waits[0] == StoreFeedOptions {}.watchWait);
+    CHECK(fixture.reader.freshnesses[0] == ReadFreshness::MayBeStale);
+
+    Fixture expectant;
+    expectant.observer.expectant = true;
+    expectant.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
+    expectant.run();
+    REQUIRE(expectant.reader.waits.size() == 1);
+    CHECK(expectant.reader.waits[0] == StoreFeedOptions {}.expectantWait);
+    CHECK(expectant.reader.freshnesses[0] == ReadFreshness::Current);
+}
--- a/tests/edge/ViewKeeperTest.cpp
+++ b/tests/edge/ViewKeeperTest.cpp
@@ -33,13 +33,13 @@
 
     void answerTargets(std::uint64_t version, const std::vector<StoreEntry>& entries)
     {
-        view.targetObserver().onAnswer(StoreVersion(version));
+        view.targetObserver().onAnswer(StoreVersion(version), ReadFreshness::Current);
         view.targetObserver().onContact();
         view.targetObserver().onSnapshot(entries, StoreVersion(version));
     }
     void answerRoutes(std::uint64_t version)
     {
-        view.routeObserver().onAnswer(StoreVersion(version));
+        view.routeObserver().onAnswer(StoreVersion(version), ReadFreshness::Current);
         view.routeObserver().onContact();
         view.routeObserver().onSnapshot({ routesEntry(version) }, StoreVersion(version));
     }
@@ -88,6 +88,26 @@
     }
 }
 
+// Guards against a living target that is given up by an answer that is seconds behind.
+TEST_CASE("Only a current answer of the store decides about a missing target")
+{
+    Fixture fixture;
+    fixture.answerTargets(30, { targetEntry(1, 25), targetEntry(2, 29) });
+    fixture.answerRoutes(8);
+    CHECK_FALSE(fixture.view.targetObserver().expectsChanges());
+    fixture.view.targetObserver().onFailure({ .code = ErrorCode::Unavailable, .message = "down" });
+    fixture.answerTargets(31, { targetEntry(1, 25) });
+    CHECK(fixture.view.targetObserver().expectsChanges());
+    fixture.scene.clock.advance(5s);
+    fixture.view.targetObserver().onAnswer(StoreVersion(32), ReadFreshness::MayBeStale);
+    fixture.scene.targets.expire(fixture.scene.clock.now());
+    CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Missing);
+    fixture.view.targetObserver().onAnswer(StoreVersion(33), ReadFreshness::Current);
+    fixture.scene.targets.expire(fixture.scene.clock.now());
+    CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Gone);
+    CHECK_FALSE(fixture.view.targetObserver().expectsChanges());
+}
+
 // Guards against routes or targets that fall back to what an older peer says.
 TEST_CASE("An older view of a peer changes nothing")
 {
--- a/tests/placement/TargetCatalogueTest.cpp
+++ b/tests/placement/TargetCatalogueTest.cpp
@@ -22,6 +22,13 @@
     {
         targets.remove({ { .name = targetRecord(number).name, .version = StoreVersion(version) } }, clock.now());
     }
+    // Time passes in which the store answers.
+    void answerAfter(Duration time)
+    {
+        clock.advance(time);
+        targets.noteStoreAnswer(clock.now());
+        targets.expire(clock.now());
+    }
     TargetPresence presence(std::uint64_t number) { return targets.find(tokenOfTarget(number))->presence; }
 };
 
@@ -64,8 +71,7 @@
     CHECK(fixture.targets.targetsOf(boardService).size() == 14);
     fixture.put(1, 20);
     CHECK(fixture.presence(1) == TargetPresence::Listed);
-    fixture.clock.advance(2500ms);
-    fixture.targets.expire(fixture.clock.now());
+    fixture.answerAfter(2500ms);
     CHECK(fixture.presence(1) == TargetPresence::Listed);
     CHECK(fixture.presence(2) == TargetPresence::Gone);
 }
@@ -79,9 +85,27 @@
     fixture.clock.advance(1s);
     fixture.remove(3, 3);
     CHECK(fixture.presence(3) == TargetPresence::Missing);
-    fixture.clock.advance(2600ms);
+    fixture.answerAfter(2600ms);
+    CHECK(fixture.presence(3) == TargetPresence::Gone);
+}
+
+// Guards against resets of live flows when the store falls silent again unnoticed: no time of silence shows that a
+// target has ended.
+TEST_CASE("TargetCatalogue keeps missing targets until the store has answered after their grace")
+{
+    Fixture fixture;
+    for (std::uint64_t number = 1; number <= 14; ++number)
+        fixture.put(number, number);
+    fixture.targets.noteStoreOutage(fixture.clock.now());
+    fixture.remove(3, 20);
+    fixture.answerAfter(1s);
+    fixture.clock.advance(20s);
     fixture.targets.expire(fixture.clock.now());
+    CHECK(fixture.presence(3) == TargetPresence::Missing);
+    CHECK(fixture.targets.hasMissing());
+    fixture.answerAfter(10ms);
     CHECK(fixture.presence(3) == TargetPresence::Gone);
+    CHECK_FALSE(fixture.targets.hasMissing());
 }
 
 // Guards against resets of live flows when the store returns only for a moment: targets whose entries lapsed cannot
@@ -100,8 +124,7 @@
         fixture.targets.expire(fixture.clock.now());
     }
     CHECK(fixture.presence(3) == TargetPresence::Missing);
-    fixture.clock.advance(2600ms);
-    fixture.targets.expire(fixture.clock.now());
+    fixture.answerAfter(2600ms);
     CHECK(fixture.presence(3) == TargetPresence::Gone);
 }
 
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -102,11 +102,18 @@
 {
     PlacementScene scene;
     scene.put(targetRecord(1));
+    CHECK_FALSE(scene.router.hasUnknownTokens());
     CHECK(isDrop(scene.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
+    CHECK(scene.router.hasUnknownTokens());
     scene.clock.advance(2499ms);
+    scene.router.noteStoreAnswer(scene.clock.now());
     CHECK(isDrop(scene.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
-    scene.clock.advance(1ms);
+    // Silence of the store shows nothing.
+    scene.clock.advance(20s);
+    CHECK(isDrop(scene.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
+    scene.router.noteStoreAnswer(scene.clock.now());
     CHECK(isReset(scene.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
+    CHECK_FALSE(scene.router.hasUnknownTokens());
     scene.router.setViewCurrent(false);
     CHECK(isDrop(scene.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
 }
--- a/tests/platform/ObjectApiReaderTest.cpp
+++ b/tests/platform/ObjectApiReaderTest.cpp
@@ -68,7 +68,8 @@
 TEST_CASE("ObjectApiReader reads changes, removals included")
 {
     Fixture fixture({ answer("200 OK", R"({"events":[{"deleted":true,"object":)" + targetText + R"(}],"as_of":11})") });
-    const auto changes = complete(fixture.context, fixture.reader.watch(StoreVersion(8), 100ms));
+    const auto changes
+        = complete(fixture.context, fixture.reader.watch(StoreVersion(8), 100ms, ReadFreshness::Current));
     REQUIRE(isOk(changes));
     REQUIRE(valueOf(changes).entries.size() == 1);
     CHECK(valueOf(changes).entries[0].removed);
@@ -79,7 +80,8 @@
 TEST_CASE("ObjectApiReader tells a dropped history from other refusals")
 {
     Fixture gone({ answer("410 Gone", "{}") });
-    CHECK(errorOf(complete(gone.context, gone.reader.watch(StoreVersion(8), 1ms))).code == ErrorCode::Gone);
+    CHECK(errorOf(complete(gone.context, gone.reader.watch(StoreVersion(8), 1ms, ReadFreshness::Current))).code
+        == ErrorCode::Gone);
     for (const char* status : { "429 Too Many Requests", "503 Service Unavailable", "404 Not Found" }) {
         Fixture refused({ answer(status, "{}") });
         CHECK(errorOf(complete(refused.context, refused.reader.list(""))).code == ErrorCode::Unavailable);
@@ -104,7 +106,8 @@
     Fixture fixture({ "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n" });
     fixture.server.holdLast();
     const auto before = std::chrono::steady_clock::now();
-    CHECK_FALSE(isOk(complete(fixture.context, fixture.reader.watch(StoreVersion(1), 100ms))));
+    CHECK_FALSE(
+        isOk(complete(fixture.context, fixture.reader.watch(StoreVersion(1), 100ms, ReadFreshness::MayBeStale))));
     CHECK(std::chrono::steady_clock::now() - before >= 400ms);
     CHECK(std::chrono::steady_clock::now() - before < 5s);
 }
