--- a/tests/standins/common/PacketSocket.cpp
+++ b/tests/standins/common/PacketSocket.cpp
@@ -38,8 +38,8 @@
 
 void PacketSocket::waitForPackets()
 {
-    m_socket.async_wait(udp::socket::wait_read, [this](error_code error) {
-        if (error == boost::asio::error::operation_aborted)
+    m_socket.async_wait(udp::socket::wait_read, [this, alive = std::weak_ptr<int>(m_alive)](error_code error) {
+        if (error == boost::asio::error::operation_aborted || alive.expired())
             return;
         readPackets();
         waitForPackets();
--- a/tests/standins/common/PacketSocket.h
+++ b/tests/standins/common/PacketSocket.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <span>
 #include <utility>
 
@@ -29,6 +30,8 @@
     void readPackets();
 
     boost::asio::ip::udp::socket m_socket;
+    // Lives as long as the socket; a wait that was over before it ended is dropped.
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
     Handler m_handler;
     std::array<std::uint8_t, 65536> m_buffer {};
 };
