discovery: a list that was turned away continues where it stopped

Cause: when 300 balancers start together before 3,000 targets, they ask for 18,000 pages of a store that answers 6,000 calls a second; each page that was turned away threw the whole list away, and the refused calls went on. Ruled out: a lost page order (later pages are newer, the watch starts at the first page's version). Test: failed before (the list started anew).

--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -48,7 +48,8 @@
 };
 
 // Keeps a copy of one kind of entry current: lists all entries, then watches. Lists again after each
-// watch that failed.
+// watch that failed. A list that was turned away continues where it stopped: many balancers that start together ask for
+// more pages a second than the store gives.
 class StoreFeed {
 public:
     StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&);
@@ -57,6 +58,15 @@
     boost::asio::awaitable<void> run();
 
 private:
+    // A list that is in progress.
+    struct Listing {
+        std::vector<StoreEntry> entries;
+        // Version of the first page. Later pages are newer; watching from here misses nothing.
+        StoreVersion version;
+        // Name after which the next page starts.
+        std::string after;
+    };
+
     boost::asio::awaitable<bool> takeSnapshot();
     boost::asio::awaitable<bool> takeChanges();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds);
@@ -70,6 +80,7 @@
     StoreFeedObserver& m_observer;
     pcg32 m_random;
     StoreVersion m_version;
+    Listing m_listing;
     bool m_hasSnapshot = false;
     bool m_inContact = false;
     std::chrono::milliseconds m_retryPause;
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -50,30 +50,29 @@
 
 asio::awaitable<bool> StoreFeed::takeSnapshot()
 {
-    std::vector<StoreEntry> entries;
-    StoreVersion version;
-    std::string after;
     bool more = true;
     while (more) {
+        const std::string after = m_listing.after;
         auto result = co_await m_reader.list(after);
         if (!isOk(result)) {
             noteFailure(errorOf(result));
             co_return false;
         }
+        m_retryPause = m_options.retryPause;
         StorePage& page = valueOf(result);
-        // Later pages are newer; watching from the first one's version misses nothing.
-        if (version == StoreVersion())
-            version = page.version;
+        if (m_listing.version == StoreVersion())
+            m_listing.version = page.version;
         const std::string last = lastName(page.entries);
         // A page that leads no further would be asked for again without end.
         more = page.more && last > after;
-        after = last;
-        std::move(page.entries.begin(), page.entries.end(), std::back_inserter(entries));
+        m_listing.after = last;
+        std::move(page.entries.begin(), page.entries.end(), std::back_inserter(m_listing.entries));
     }
-    noteSuccess(version, ReadFreshness::Current);
-    m_version = std::max(m_version, version);
+    const Listing listing = std::exchange(m_listing, {});
+    noteSuccess(listing.version, ReadFreshness::Current);
+    m_version = std::max(m_version, listing.version);
     m_hasSnapshot = true;
-    m_observer.onSnapshot(entries, version);
+    m_observer.onSnapshot(listing.entries, listing.version);
     co_return true;
 }
 
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -141,6 +141,22 @@
     CHECK(fixture.observer.contacts == 2);
 }
 
+// Guards against a mass restart in which no balancer ever completes its list, because the store turns away some of the
+// many pages that all ask for at once.
+TEST_CASE("StoreFeed continues a list where it was turned away")
+{
+    Fixture fixture;
+    fixture.reader.pages.push_back(
+        StorePage { .entries = { entry("a", 1), entry("b", 2) }, .more = true, .version = StoreVersion(5) });
+    fixture.reader.pages.push_back(unavailable);
+    fixture.reader.pages.push_back(unavailable);
+    fixture.reader.pages.push_back(
+        StorePage { .entries = { entry("c", 6) }, .more = false, .version = StoreVersion(9) });
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "list b", "list b", "list b", "watch 5" });
+    CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 3 });
+}
+
 // Guards against a list that never ends because a page names nothing to continue from.
 TEST_CASE("StoreFeed ends a list whose page leads no further")
 {
