--- a/tests/soak/Caller.cpp
+++ b/tests/soak/Caller.cpp
@@ -1,5 +1,7 @@
 #include "Caller.h"
 
+#include "Delay.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -74,7 +76,7 @@
     while (!m_stopping) {
         FlowPointer flow;
         for (std::uint32_t request = 0; request < habit.requestsPerFlow && !m_stopping; ++request) {
-            co_await pause(std::chrono::milliseconds(pauses(m_random)));
+            co_await pauseFor(m_context, std::chrono::milliseconds(pauses(m_random)));
             co_await makeRequest(habit, flow);
             if (flow && (flow->finished || flow->reset))
                 closeFlow(flow);
@@ -99,7 +101,7 @@
         if (outcome == Outcome::Broken && !habit.idempotent)
             break;
         ++m_counts.retried;
-        co_await pause(retryPause);
+        co_await pauseFor(m_context, retryPause);
     }
     ++m_counts.failed;
     if (expected)
@@ -152,13 +154,6 @@
     co_return true;
 }
 
-asio::awaitable<void> Caller::pause(std::chrono::milliseconds time)
-{
-    asio::steady_timer timer(m_context, time);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 Caller::FlowPointer Caller::makeFlow(const ServiceAddress& address)
 {
     constexpr std::uint16_t firstPort = 1024;
--- a/tests/soak/Caller.h
+++ b/tests/soak/Caller.h
@@ -76,7 +76,6 @@
     boost::asio::awaitable<Outcome> tryOnce(UserHabit, FlowPointer&, std::uint64_t id);
     boost::asio::awaitable<bool> openFlow(FlowPointer, std::uint64_t id);
     boost::asio::awaitable<bool> exchange(FlowPointer, std::uint64_t id);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds);
 
     FlowPointer makeFlow(const ServiceAddress&);
     void closeFlow(FlowPointer&);
--- a/tests/soak/Fabric.cpp
+++ b/tests/soak/Fabric.cpp
@@ -1,5 +1,7 @@
 #include "Fabric.h"
 
+#include "Delay.h"
+
 #include <anvilwalk/discovery.h>
 
 #include <algorithm>
@@ -8,7 +10,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <memory>
 #include <random>
 
 namespace anvilwalk::soak {
@@ -64,11 +65,8 @@
         m_send(caller, packet, receiver);
         return;
     }
-    auto timer = std::make_shared<asio::steady_timer>(m_context, harm.delay);
-    timer->async_wait([this, timer, caller, receiver, packet = std::move(packet)](boost::system::error_code error) {
-        if (!error)
-            m_send(caller, packet, receiver);
-    });
+    runAfter(m_context, harm.delay,
+        [this, caller, receiver, packet = std::move(packet)] { m_send(caller, packet, receiver); });
 }
 
 asio::awaitable<void> Fabric::probe(std::size_t balancer)
--- a/tests/soak/Fabric.h
+++ b/tests/soak/Fabric.h
@@ -34,6 +34,7 @@
     // Sends to one balancer whatever the rotation is.
     void carryTo(std::size_t balancer, std::size_t caller, std::vector<std::uint8_t> packet);
     LinkHarm& harm(std::size_t balancer) { return m_links[balancer].harm; }
+    const LinkHarm& harm(std::size_t balancer) const { return m_links[balancer].harm; }
     bool isInRotation(std::size_t balancer) const { return m_links[balancer].inRotation; }
     std::size_t inRotation() const;
 
--- a/tests/soak/FaultPlayer.cpp
+++ b/tests/soak/FaultPlayer.cpp
@@ -1,5 +1,7 @@
 #include "FaultPlayer.h"
 
+#include "Delay.h"
+
 #include <algorithm>
 
 namespace anvilwalk::soak {
@@ -29,15 +31,6 @@
 {
 }
 
-void FaultPlayer::after(std::chrono::milliseconds delay, std::function<void()> action)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
-    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
-        if (!error)
-            action();
-    });
-}
-
 void FaultPlayer::play(const Fault& fault)
 {
     ++m_played[fault.kind];
@@ -92,7 +85,7 @@
 {
     m_stage.balancers[index].process->pause();
     disturb(index, duration);
-    after(duration, [this, index] { m_stage.balancers[index].process->resume(); });
+    runAfter(m_context, duration, [this, index] { m_stage.balancers[index].process->resume(); });
 }
 
 void FaultPlayer::playOnLink(const Fault& fault, std::size_t index)
@@ -114,7 +107,7 @@
 {
     change(m_stage.fabric.harm(index));
     disturb(index, duration);
-    after(duration, [this, index] { m_stage.fabric.harm(index) = {}; });
+    runAfter(m_context, duration, [this, index] { m_stage.fabric.harm(index) = {}; });
 }
 
 void FaultPlayer::playOnProxy(const Fault& fault, std::size_t index)
@@ -138,7 +131,7 @@
         proxy.setCut(false, true);
         break;
     }
-    after(fault.duration, [&proxy] {
+    runAfter(m_context, fault.duration, [&proxy] {
         proxy.setDelay(0ms);
         proxy.setCut(false, false);
     });
@@ -165,7 +158,7 @@
     case FaultKind::StoreStale:
         disturbStore(fault.duration + staleness);
         m_stage.store.setStaleness(staleness);
-        after(fault.duration, [this] { m_stage.store.setStaleness(0ms); });
+        runAfter(m_context, fault.duration, [this] { m_stage.store.setStaleness(0ms); });
         break;
     case FaultKind::DropHistory:
         disturbStore(0ms);
@@ -185,7 +178,7 @@
     disturbStore(duration);
     m_stage.store.setMode(mode);
     m_storeReturns = std::max(m_storeReturns, std::chrono::steady_clock::now() + duration);
-    after(duration, [this] { returnStore(); });
+    runAfter(m_context, duration, [this] { returnStore(); });
 }
 
 void FaultPlayer::returnStore()
@@ -195,7 +188,7 @@
         return;
     m_stage.store.setMode(StoreMode::Serves);
     disturbStore(entriesReturn);
-    after(entriesReturn, [this] { m_stage.hosts.restoreEntries(); });
+    runAfter(m_context, entriesReturn, [this] { m_stage.hosts.restoreEntries(); });
 }
 
 void FaultPlayer::lapse(std::chrono::milliseconds duration)
@@ -209,7 +202,7 @@
     m_stage.objects.put("servers", "i-ff", { { "service", 7 } });
     m_stage.objects.put("servers", "not a host", "text");
     m_stage.objects.put("config", "other", { { "version", 1'000'000 }, { "routes", nlohmann::json::array() } });
-    after(duration, [this] {
+    runAfter(m_context, duration, [this] {
         m_stage.objects.remove("servers", "i-ff");
         m_stage.objects.remove("servers", "not a host");
         m_stage.objects.remove("config", "other");
--- a/tests/soak/FaultPlayer.h
+++ b/tests/soak/FaultPlayer.h
@@ -67,7 +67,6 @@
     void disturb(std::size_t index, std::chrono::milliseconds);
     void disturbStore(std::chrono::milliseconds);
     void tellPromises();
-    void after(std::chrono::milliseconds, std::function<void()>);
 
     boost::asio::io_context& m_context;
     FaultStage m_stage;
--- a/tests/soak/Host.cpp
+++ b/tests/soak/Host.cpp
@@ -1,5 +1,7 @@
 #include "Host.h"
 
+#include "Delay.h"
+
 #include <fmt/format.h>
 
 namespace anvilwalk::soak {
@@ -109,12 +111,10 @@
     m_promises.requestRan(flow.lastRequest, m_options.service, now);
     if (m_runsTwice)
         m_promises.requestRan(flow.lastRequest, m_options.service, now);
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_options.work);
-    timer->async_wait(
-        [this, timer, alive = std::weak_ptr<int>(m_alive), key, id = flow.lastRequest](boost::system::error_code) {
-            if (!alive.expired())
-                finishRequest(key, id);
-        });
+    runAfter(m_context, m_options.work, [this, alive = std::weak_ptr<int>(m_alive), key, id = flow.lastRequest] {
+        if (!alive.expired())
+            finishRequest(key, id);
+    });
 }
 
 void Host::finishRequest(const FlowKey& key, std::uint64_t id)
--- a/tests/soak/Host.h
+++ b/tests/soak/Host.h
@@ -7,7 +7,6 @@
 #include <common/PacketSocket.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <map>
 #include <memory>
--- a/tests/soak/HostFleet.cpp
+++ b/tests/soak/HostFleet.cpp
@@ -1,5 +1,7 @@
 #include "HostFleet.h"
 
+#include "Delay.h"
+
 #include <algorithm>
 
 namespace anvilwalk::soak {
@@ -82,15 +84,6 @@
     std::erase_if(m_hosts, [&](const auto& host) { return host->run() == run; });
 }
 
-void HostFleet::after(std::chrono::milliseconds delay, std::function<void()> action)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
-    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
-        if (!error)
-            action();
-    });
-}
-
 Host* HostFleet::pickWhole(std::uint32_t pick)
 {
     std::vector<Host*> whole;
@@ -114,8 +107,8 @@
     const std::string name = host->name();
     const ServiceName service = host->options().service;
     end(host->run());
-    after(entryLifetime, [this, name] { m_store.remove(targetsKind, name); });
-    after(replacementDelay, [this, service] { add(service); });
+    runAfter(m_context, entryLifetime, [this, name] { m_store.remove(targetsKind, name); });
+    runAfter(m_context, replacementDelay, [this, service] { add(service); });
 }
 
 void HostFleet::restart(std::uint32_t pick)
@@ -139,9 +132,9 @@
     const Ipv4Endpoint endpoint = host->options().endpoint;
     const ServiceName other = service == m_services[0] ? m_services[1] : m_services[0];
     end(host->run());
-    after(entryLifetime, [this, name] { m_store.remove(targetsKind, name); });
-    after(replacementDelay, [this, service] { add(service); });
-    after(reuseDelay, [this, endpoint, other] { publish(start(makeOptions(other, endpoint))); });
+    runAfter(m_context, entryLifetime, [this, name] { m_store.remove(targetsKind, name); });
+    runAfter(m_context, replacementDelay, [this, service] { add(service); });
+    runAfter(m_context, reuseDelay, [this, endpoint, other] { publish(start(makeOptions(other, endpoint))); });
 }
 
 void HostFleet::drain(std::uint32_t pick)
@@ -153,8 +146,8 @@
     if (!m_options.hideDrains)
         publish(*host);
     m_promises.hostDrains(host->run(), std::chrono::steady_clock::now());
-    after(replacementDelay, [this, service = host->options().service] { add(service); });
-    after(m_options.drainTime, [this, run = host->run(), name = host->name()] {
+    runAfter(m_context, replacementDelay, [this, service = host->options().service] { add(service); });
+    runAfter(m_context, m_options.drainTime, [this, run = host->run(), name = host->name()] {
         end(run);
         m_store.remove(targetsKind, name);
     });
@@ -167,7 +160,7 @@
         return;
     host->setDark(true);
     // Shorter than the lifetime of an entry, so that the store goes on naming it.
-    after(std::min(duration, entryLifetime - 300ms), [this, run = host->run()] {
+    runAfter(m_context, std::min(duration, entryLifetime - 300ms), [this, run = host->run()] {
         if (Host* again = find(run))
             again->setDark(false);
     });
--- a/tests/soak/HostFleet.h
+++ b/tests/soak/HostFleet.h
@@ -4,8 +4,6 @@
 #include "StoreModel.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <functional>
 #include <memory>
 #include <pcg_random.hpp>
 #include <vector>
@@ -50,7 +48,6 @@
     void end(HostRun);
     Host* find(HostRun);
     void publish(const Host&);
-    void after(std::chrono::milliseconds, std::function<void()>);
 
     boost::asio::io_context& m_context;
     HostFleetOptions m_options;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,9 +1,8 @@
 #include "Soak.h"
 
+#include "Delay.h"
+
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 namespace anvilwalk::soak {
@@ -149,9 +148,8 @@
             continue;
         if (!end->expected)
             m_promises.balancerEnded(place.process->name(), end->how, std::chrono::steady_clock::now());
-        auto timer = std::make_shared<asio::steady_timer>(m_context, restartDelay);
-        timer->async_wait([this, timer, &place](boost::system::error_code error) {
-            if (!error && !m_ending)
+        runAfter(m_context, restartDelay, [this, &place] {
+            if (!m_ending)
                 startBalancer(place);
         });
     }
@@ -174,7 +172,7 @@
 bool Soak::reachesHosts(const Ipv4Endpoint& balancer) const
 {
     const std::size_t index = indexOf(balancer);
-    return index >= m_balancers.size() || !const_cast<Fabric&>(m_fabric).harm(index).cutOut;
+    return index >= m_balancers.size() || !m_fabric.harm(index).cutOut;
 }
 
 std::optional<BalancerRun> Soak::probedRun(std::size_t balancer) const
@@ -228,13 +226,6 @@
     }
 }
 
-asio::awaitable<void> Soak::pause(std::chrono::milliseconds time)
-{
-    asio::steady_timer timer(m_context, time);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<void> Soak::playFaults()
 {
     const std::vector<Fault> faults
@@ -244,14 +235,14 @@
         const auto passed
             = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_start);
         if (fault.at > passed)
-            co_await pause(fault.at - passed);
+            co_await pauseFor(m_context, fault.at - passed);
         m_faults.play(fault);
         lastEnd = std::max(lastEnd, fault.at + fault.duration);
     }
     const auto passed
         = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_start);
     if (lastEnd > passed)
-        co_await pause(lastEnd - passed);
+        co_await pauseFor(m_context, lastEnd - passed);
     m_faults.endAll();
 }
 
@@ -262,16 +253,16 @@
         for (std::size_t index = 0; index < m_balancers.size(); ++index)
             m_fabric.harm(index).cutIn = true;
     }
-    co_await pause(m_options.recoveryBound / 2);
+    co_await pauseFor(m_context, m_options.recoveryBound / 2);
     if (m_options.sabotage == Sabotage::HideDrains)
         m_hosts.drain(0);
-    co_await pause(m_options.recoveryBound / 2);
+    co_await pauseFor(m_context, m_options.recoveryBound / 2);
     for (const auto& caller : m_callers)
         caller->expectAnswers();
-    co_await pause(measuredTime);
+    co_await pauseFor(m_context, measuredTime);
     for (const auto& caller : m_callers)
         caller->stop();
-    co_await pause(closingTime);
+    co_await pauseFor(m_context, closingTime);
     m_ending = true;
     m_context.stop();
 }
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -94,7 +94,6 @@
     // Restarts processes that have ended.
     void watchProcesses();
     void sabotagePacket(std::size_t caller, const FlowKey&, std::vector<std::uint8_t>& packet);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds);
     boost::asio::awaitable<void> playFaults();
 
     boost::asio::io_context& m_context;
--- a/tests/soak/StoreProxy.cpp
+++ b/tests/soak/StoreProxy.cpp
@@ -1,10 +1,11 @@
 #include "StoreProxy.h"
 
+#include "Delay.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -108,7 +109,6 @@
     tcp::socket& to = toStore ? link->store : link->balancer;
     constexpr std::size_t bufferBytes = 16384;
     std::vector<char> buffer(bufferBytes);
-    asio::steady_timer timer(m_context);
     boost::system::error_code error;
     for (;;) {
         const std::size_t count
@@ -117,10 +117,8 @@
             break;
         if (link->silent || (toStore ? m_cutToStore : m_cutFromStore))
             continue;
-        if (m_delay > std::chrono::milliseconds(0)) {
-            timer.expires_after(m_delay);
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-        }
+        if (m_delay > std::chrono::milliseconds(0))
+            co_await pauseFor(m_context, m_delay);
         co_await asio::async_write(
             to, asio::buffer(buffer.data(), count), asio::redirect_error(asio::use_awaitable, error));
         if (error)
