--- a/tests/soak/Caller.h
+++ b/tests/soak/Caller.h
@@ -55,7 +55,7 @@
     const CallerCounts& counts() const { return m_counts; }
     std::size_t openFlows() const { return m_flows.size(); }
 
-    // Sends a packet that a balancer was given to carry; used by the network.
+    // Sends a packet to a balancer; called by the routers.
     void sendFrom(std::span<const std::uint8_t>, const Ipv4Endpoint& balancer);
 
 private:
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -70,7 +70,7 @@
 public:
     Promises(const PromiseBounds&, SoakTime start);
 
-    // Faults. A balancer's run is disturbed while it is at its mercy, and at its start.
+    // A fault of a balancer or of the store holds now. A balancer's start counts as one.
     void noteDisturbed(BalancerRun, SoakTime now);
     void noteStoreDisturbed(SoakTime now);
     bool inTouch(BalancerRun, SoakTime now) const;
@@ -78,7 +78,7 @@
     // Hosts.
     void hostEnded(HostRun);
     void hostDrains(HostRun, SoakTime acknowledged);
-    // An opening packet reached a host; for a port that only some configurations have, the newest such version.
+    // An opening packet reached a host through a balancer.
     void openingArrived(HostRun, BalancerRun, SoakTime now);
     void flowOpened(const FlowKey&, HostRun);
     void flowClosed(const FlowKey&);
--- a/tests/soak/SoakNetwork.h
+++ b/tests/soak/SoakNetwork.h
@@ -64,7 +64,7 @@
 public:
     virtual ~PacketSink() = default;
 
-    // Hands a packet to a balancer of the caller's choice of flow, over a socket of the caller.
+    // Hands a packet of a flow to the balancer that the routers choose, over a socket of the caller.
     virtual void deliver(std::size_t caller, const FlowKey&, std::vector<std::uint8_t> packet) = 0;
 };
 
