tools: keep the lint cache across runs

Cause: pcg_extras.hpp holds the date and time of the compilation, so the preprocessed text that makes the cache's key was new each time, and every file that includes it was linted again (about 60 of 206, ten minutes on a busy machine). Measured: one such file, second run: 15.4 s before, 0.6 s after. What is linted does not change.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -21,8 +21,10 @@
     local file=$1 command key
     command=$(jq -r --arg file "$PWD/$file" '.[] | select(.file == $file) | .command' build/compile_commands.json)
     [ -n "$command" ] || { echo "$file is not part of the build."; return 1; }
-    # Same command with -E in place of -c and without the output and the compiler cache.
+    # Same command with -E in place of -c and without the output and the compiler cache. A header of the random numbers
+    # names the time of the compilation, which would make each key a new one.
     command=$(sed -E 's/^[^ ]*ccache //; s/ -o [^ ]+/ /; s/ -c / -E /' <<<"$command")
+    command+=" -Wno-builtin-macro-redefined -D__DATE__=0 -D__TIME__=0"
     key=$( (cat .clang-tidy; (cd build && eval "$command" 2>/dev/null)) | sha256sum | cut -d' ' -f1)
     [ -e "build/lint-passed/$key" ] && return 0
     # shellcheck disable=SC2086
