membership: balancers of a data centre know each other and agree on relays

Heartbeats over UDP between the longest-running members (hubs) and all others; seeds introduce a new member to the hubs of its data centre. The two longest-running members with a view are relays. Not used yet.

--- /dev/null
+++ b/packages/membership/include/anvilwalk/membership/Member.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <anvilwalk/units.h>
+
+#include <chrono>
+#include <cstdint>
+
+namespace anvilwalk {
+
+// A running balancer.
+struct Member {
+    BalancerId id;
+    DataCentreId dataCentre;
+    // Address at which it serves its view to other balancers.
+    Ipv4Endpoint viewAddress;
+    // Start time of its process in milliseconds since the Unix epoch, by its own clock. Constant for one run, so all
+    // balancers order members equally.
+    std::uint64_t startedMs = 0;
+
+    friend bool operator==(const Member&, const Member&) = default;
+};
+
+// How recent a balancer's view of the store is.
+struct ViewStatus {
+    StoreVersion targets;
+    // Version of the last change of a target; at most the version above.
+    StoreVersion lastTargetChange {};
+    ConfigVersion config;
+    // Time since the store last answered a read of targets, a read of targets that was not stale, and a read of routes.
+    Duration targetsAge { 0 };
+    Duration currentTargetsAge { 0 };
+    Duration routesAge { 0 };
+
+    friend bool operator==(const ViewStatus&, const ViewStatus&) = default;
+};
+
+} // namespace anvilwalk
--- /dev/null
+++ b/packages/membership/include/anvilwalk/membership/MemberList.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <anvilwalk/membership/Member.h>
+#include <anvilwalk/membership/MemberMessage.h>
+#include <anvilwalk/units.h>
+
+#include <absl/container/flat_hash_map.h>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace anvilwalk {
+
+struct MemberListOptions {
+    // Number of balancers of a data centre that follow the store. Two, so that one can fail without a gap.
+    std::size_t relayCount = 2;
+    // Number of the longest-running members that exchange heartbeats with all members: the relays and their successors.
+    std::size_t hubCount = 4;
+    // In a data centre with fewer members, every balancer follows the store itself.
+    std::size_t minMembersForRelays = 8;
+    // A member that has not been heard of for this long is considered stopped. Longer than three heartbeat intervals,
+    // because datagrams are lost occasionally.
+    std::chrono::milliseconds memberTimeout { 3500 };
+    // The same for members of other data centres, which are known only from their queries.
+    std::chrono::milliseconds remoteMemberTimeout { 20'000 };
+    // Limits the memory that forged messages can use.
+    std::size_t maxMembers = 4096;
+};
+
+// The running balancers that this one knows, and the roles that follow from them. Relays are the longest-running
+// members with a complete view: they change rarely, and all balancers agree on them without an election. Balancers may
+// disagree for a while; then more or fewer of them follow the store than necessary, which costs calls but no
+// correctness.
+class MemberList {
+public:
+    MemberList(const MemberListOptions&, Member self);
+
+    // Sets whether this balancer has a complete view and whether it is stopping.
+    void setOwnState(bool hasView, bool leaving);
+    // Applies any message from another balancer. Returns whether its sender was not known to be running before.
+    bool handle(const MemberMessage&, MonotonicTime now);
+    // Removes members that have not been heard of within their timeout.
+    void expire(MonotonicTime now);
+
+    // Returns whether this balancer must follow the store itself.
+    bool isRelay() const;
+    // Returns whether other balancers rely on this one to follow the store.
+    bool hasFollowers() const;
+    // Returns whether this balancer is among the longest-running members of its data centre.
+    bool isHub() const;
+    // Returns the members to which this balancer sends heartbeats: all if it is a hub, else the hubs.
+    std::vector<Member> heartbeatDestinations() const;
+    // Returns the longest-running members of a data centre, at most hubCount.
+    std::vector<Member> introductionsFor(const DataCentreId&) const;
+    // Returns the number of members of the own data centre, this balancer included.
+    std::uint32_t memberCount() const;
+    // Returns whether any member of the own data centre waits for a read of targets that is not stale.
+    bool anyNeedsCurrentTargets() const;
+
+    const Member& self() const { return m_self; }
+
+private:
+    struct Entry {
+        Member member;
+        // A message of the member itself has arrived, not only another balancer's introduction.
+        bool confirmed = false;
+        bool hasView = false;
+        bool needsCurrentTargets = false;
+        // Count of members that it hears from; meaningful for hubs only.
+        std::uint32_t memberCount = 1;
+        MonotonicTime lastHeard;
+    };
+
+    void introduce(const Member&, MonotonicTime now);
+    bool confirm(const MemberMessage&, MonotonicTime now);
+    bool isLocal(const Member& member) const { return member.dataCentre == m_self.dataCentre; }
+    std::vector<const Entry*> localEntries() const;
+    // Returns whether the data centre has enough members for relays.
+    bool usesRelays() const;
+
+    MemberListOptions m_options;
+    Member m_self;
+    bool m_hasView = false;
+    bool m_leaving = false;
+    absl::flat_hash_map<std::string, Entry> m_entries;
+};
+
+} // namespace anvilwalk
