--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -64,6 +64,33 @@
         return static_cast<int>(std::min(maxReceiveBufferBytes, memoryBytesOf(settings) / receiveBufferMemoryDivisor));
     }
 
+    // Time to find a relay and read its view at startup, before the store is read.
+    constexpr std::chrono::milliseconds relaySearchTime { 40 };
+    // Time for relays to answer after a seed has told this balancer of its data centre's members.
+    constexpr std::chrono::milliseconds relayAnswerTime { 10 };
+    // Time to find a relay and read its view once one has been found.
+    constexpr std::chrono::milliseconds relayReadTime { 300 };
+    constexpr std::chrono::milliseconds relayCheckInterval { 5 };
+    // How long an encoded view may be sent again; the age it states is too low by at most this time.
+    constexpr std::chrono::milliseconds encodedViewLifetime { 200 };
+
+    // A configuration that the store accepts while all relays are cut off must still be in force within its bound.
+    RoutingViewOptions viewOptions(const EdgeSettings& settings)
+    {
+        return { .maxRelayAge = std::max(settings.configBound - configMargin, settings.configBound / 2),
+            .relayMargin = std::min(configMargin / 2, settings.configBound / 4) };
+    }
+
+    Member ownMember(const EdgeSettings& settings)
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return { .id = settings.balancer,
+            .dataCentre = settings.dataCentre,
+            .viewAddress = settings.peerAddress.value_or(Ipv4Endpoint {}),
+            .startedMs
+            = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()) };
+    }
+
     StoreFeedOptions feedOptions(const EdgeSettings& settings, std::string_view feed)
     {
         StoreFeedOptions options;
@@ -95,7 +122,8 @@
     , m_flows({ .capacity = flowCapacityOf(settings) }, m_targets, m_decisions)
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
-    , m_view(m_targets, m_router, log, clock)
+    , m_members(MemberListOptions {}, ownMember(settings))
+    , m_view(viewOptions(settings), m_targets, m_router, m_members, log, clock)
     , m_packets({ .address = settings.packetAddress,
                     .clientPort = settings.packetAddress.port,
                     .receiveBufferBytes = receiveBufferBytesOf(settings) },
@@ -119,11 +147,14 @@
     , m_peerFeed({ .self = settings.peerAddress.value_or(Ipv4Endpoint {}),
                      .seed = hashText(settings.balancer.value(), hashText("peers")) },
           context, platform.peerList, platform.peers, m_view)
+    , m_relayFeed(context, platform.peers, m_view, clock)
+    , m_seeds(platform.peerList)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_viewTimer(context)
 {
     m_decisions.setView(m_view);
     m_view.onComplete([this] { m_viewTimer.cancel(); });
+    m_view.onChange([this] { announceView(); });
 }
 
 Status EdgeBalancer::start()
@@ -134,6 +165,8 @@
     if (!isOk(status))
         return status;
     status = startPeerServer();
+    if (isOk(status))
+        status = startMembership();
     if (!isOk(status))
         return status;
     // Without its metrics port the balancer still forwards packets.
@@ -144,8 +177,7 @@
         m_log.write(EventKind::Process, "no_metrics", logField("error", std::string_view(errorOf(metrics).message)));
     asio::co_spawn(m_context, forwardPackets(), asio::detached);
     asio::co_spawn(m_context, m_readyServer.run(), asio::detached);
-    asio::co_spawn(m_context, m_targetFeed.run(), asio::detached);
-    asio::co_spawn(m_context, m_routeFeed.run(), asio::detached);
+    asio::co_spawn(m_context, startFeeds(), asio::detached);
     asio::co_spawn(m_context, m_peerFeed.run(), asio::detached);
     asio::co_spawn(m_context, runHousekeeping(), asio::detached);
     asio::co_spawn(m_context, handleSignals(), asio::detached);
@@ -164,7 +196,67 @@
     return status;
 }
 
-std::optional<HttpReply> EdgeBalancer::handlePeerRequest(std::string_view path) const
+Status EdgeBalancer::startMembership()
+{
+    if (!m_settings.heartbeatAddress)
+        return std::monostate {};
+    MembershipObserver& observer = *this;
+    m_membership = std::make_unique<Membership>(MembershipOptions { .address = *m_settings.heartbeatAddress },
+        m_context, m_members, m_seeds, observer, m_clock);
+    Status status = m_membership->open();
+    if (!isOk(status))
+        return status;
+    asio::co_spawn(m_context, m_membership->receive(), asio::detached);
+    asio::co_spawn(m_context, m_membership->run(), asio::detached);
+    asio::co_spawn(m_context, m_relayFeed.run(), asio::detached);
+    return status;
+}
+
+asio::awaitable<void> EdgeBalancer::startFeeds()
+{
+    const MonotonicTime start = m_clock.now();
+    asio::steady_timer timer(m_context);
+    while (mayGetRelayView(start)) {
+        timer.expires_after(relayCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    asio::co_spawn(m_context, m_targetFeed.run(), asio::detached);
+    asio::co_spawn(m_context, m_routeFeed.run(), asio::detached);
+}
+
+bool EdgeBalancer::mayGetRelayView(MonotonicTime start) const
+{
+    if (!m_membership || m_view.isConfirmedByRelay())
+        return false;
+    const MonotonicTime now = m_clock.now();
+    if (m_relayFeed.isFetching())
+        return now - start < relayReadTime;
+    const auto introduced = m_membership->introducedAt();
+    const bool relaysAreSilent = introduced && (m_members.memberCount() == 1 || now - *introduced >= relayAnswerTime);
+    return !relaysAreSilent && now - start < relaySearchTime;
+}
+
+OwnMemberState EdgeBalancer::ownMemberState() const
+{
+    return { .hasView = m_view.isComplete(),
+        .leaving = m_stopping,
+        .needsCurrentTargets = m_view.needsCurrentTargets(),
+        .view = m_view.status() };
+}
+
+void EdgeBalancer::onRelayStatus(const Member& relay, const ViewStatus& status)
+{
+    m_relayFeed.handleStatus(relay, status);
+}
+
+void EdgeBalancer::announceView()
+{
+    m_members.setOwnState(m_view.isComplete(), m_stopping);
+    if (m_membership && m_members.hasFollowers())
+        m_membership->announce();
+}
+
+std::optional<HttpReply> EdgeBalancer::handlePeerRequest(std::string_view path)
 {
     constexpr unsigned notModified = 304;
     constexpr unsigned serviceUnavailable = 503;
@@ -176,7 +268,19 @@
     const KnownVersions own = m_view.knownVersions();
     if (own.targets <= peerVersions->targets && own.config <= peerVersions->config)
         return HttpReply { .status = notModified };
-    return HttpReply { .body = encodeView(m_view.snapshot()), .contentType = "application/json" };
+    return HttpReply { .body = encodedView(*peerVersions), .contentType = "application/json" };
+}
+
+std::string EdgeBalancer::encodedView(const KnownVersions& peerVersions)
+{
+    const KnownVersions own = m_view.knownVersions();
+    const MonotonicTime now = m_clock.now();
+    if (!m_encodedView || m_encodedView->since != peerVersions || m_encodedView->version != own
+        || now - m_encodedView->encodedAt >= encodedViewLifetime)
+        m_encodedView = {
+            .since = peerVersions, .version = own, .encodedAt = now, .body = encodeView(m_view.snapshot(peerVersions))
+        };
+    return m_encodedView->body;
 }
 
 std::string EdgeBalancer::currentMetrics() const
@@ -215,6 +319,7 @@
         m_flows.expire(now);
         m_targets.expire(now);
         m_router.expire(now);
+        m_view.refresh();
         m_log.flush();
     }
 }
@@ -237,6 +342,8 @@
     const MonotonicTime since = m_clock.now();
     m_log.write(EventKind::Process, "stopping");
     m_log.flush();
+    if (m_membership)
+        m_membership->announce();
     const auto maxWait = m_settings.stopDeadline - std::min(stopMargin, m_settings.stopDeadline);
     asio::steady_timer timer(m_context);
     for (;;) {
--- a/apps/anvilwalk-edge/EdgeBalancer.h
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -9,6 +9,7 @@
 
 #include <anvilwalk/discovery.h>
 #include <anvilwalk/eventlog.h>
+#include <anvilwalk/membership.h>
 #include <anvilwalk/placement.h>
 
 #include <boost/asio/io_context.hpp>
@@ -34,7 +35,7 @@
 };
 
 // One balancer process: forwards packets by flow tokens and keeps its view of targets and routes current.
-class EdgeBalancer {
+class EdgeBalancer : private MembershipObserver {
 public:
     EdgeBalancer(
         const EdgeSettings&, boost::asio::io_context&, const EdgePlatform&, EventLog&, const LineWriter&, const Clock&);
@@ -48,12 +49,22 @@
     // Leaves packets in the socket buffer until routes and targets are known or a timeout expires, so that packets
     // which arrive during startup are not dropped.
     boost::asio::awaitable<void> forwardPackets();
+    // Reads the view of a relay if there is one, and follows the store.
+    boost::asio::awaitable<void> startFeeds();
+    // Whether a starting balancer may still receive the view of a relay.
+    bool mayGetRelayView(MonotonicTime start) const;
     boost::asio::awaitable<void> runHousekeeping();
     boost::asio::awaitable<void> handleSignals();
     boost::asio::awaitable<void> stop();
     bool isReady() const { return !m_stopping && m_view.isComplete(); }
     Status startPeerServer();
-    std::optional<HttpReply> handlePeerRequest(std::string_view path) const;
+    Status startMembership();
+    std::optional<HttpReply> handlePeerRequest(std::string_view path);
+    // Returns the encoded view for a peer. Peers that start together ask for the same view, so the last one is kept.
+    std::string encodedView(const KnownVersions& peerVersions);
+    OwnMemberState ownMemberState() const override;
+    void onRelayStatus(const Member&, const ViewStatus&) override;
+    void announceView();
     std::string currentMetrics() const;
 
     EdgeSettings m_settings;
@@ -66,6 +77,7 @@
     FlowTracker m_flows;
     TargetChooser m_chooser;
     TokenRouter m_router;
+    MemberList m_members;
     RoutingView m_view;
     PacketLoop m_packets;
     EdgeHttpServer m_readyServer;
@@ -75,6 +87,17 @@
     StoreFeed m_targetFeed;
     StoreFeed m_routeFeed;
     PeerViewFeed m_peerFeed;
+    RelayFeed m_relayFeed;
+    // Null if the settings have no address for heartbeats.
+    std::unique_ptr<Membership> m_membership;
+    PeerViewFeed::PeerList m_seeds;
+    struct EncodedView {
+        KnownVersions since;
+        KnownVersions version;
+        MonotonicTime encodedAt;
+        std::string body;
+    };
+    std::optional<EncodedView> m_encodedView;
     boost::asio::signal_set m_signals;
     std::function<void()> m_reload;
     // Timeout of the wait for a complete view at startup; cancelled when the view is complete.
--- a/apps/anvilwalk-edge/EdgeSettings.cpp
+++ b/apps/anvilwalk-edge/EdgeSettings.cpp
@@ -99,6 +99,17 @@
             m_settings.metricsAddress = readEndpoint(section, "metrics");
             if (section.find("peers") != nullptr)
                 m_settings.peerAddress = readEndpoint(section, "peers");
+            readHeartbeats(section);
+        }
+
+        void readHeartbeats(TomlTableReader& section)
+        {
+            const toml::node* node = section.find("heartbeats");
+            if (node == nullptr)
+                return;
+            m_settings.heartbeatAddress = readEndpoint(section, "heartbeats");
+            if (!m_settings.peerAddress)
+                section.add(*node, "heartbeats is set without peers", "set peers as well, or remove heartbeats");
         }
 
         void readStore(TomlTableReader& section) { m_settings.storeAddress = readEndpoint(section, "address"); }
--- a/apps/anvilwalk-edge/EdgeSettings.h
+++ b/apps/anvilwalk-edge/EdgeSettings.h
@@ -23,6 +23,9 @@
     Ipv4Endpoint storeAddress;
     // Address at which other balancers read this one's view; nullopt disables the server.
     std::optional<Ipv4Endpoint> peerAddress;
+    // Address for heartbeats of the balancers of a data centre; nullopt disables them, and this balancer follows the
+    // store itself. Needs a peerAddress.
+    std::optional<Ipv4Endpoint> heartbeatAddress;
     // Addresses at which other balancers serve their views. Incomplete and possibly stale.
     std::vector<Ipv4Endpoint> peers;
     std::uint32_t memoryMegabytes = 256;
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -4,9 +4,12 @@
 
 namespace anvilwalk {
 
-RoutingView::RoutingView(TargetCatalogue& targets, TokenRouter& router, EventLog& log, const Clock& clock)
-    : m_targets(targets)
+RoutingView::RoutingView(const RoutingViewOptions& options, TargetCatalogue& targets, TokenRouter& router,
+    const MemberList& members, EventLog& log, const Clock& clock)
+    : m_options(options)
+    , m_targets(targets)
     , m_router(router)
+    , m_members(members)
     , m_log(log)
     , m_clock(clock)
     , m_targetObserver(*this, "targets")
@@ -41,13 +44,20 @@
     FeedObserver::onResponse(version, freshness);
     if (freshness != ReadFreshness::Current)
         return;
+    m_view.m_currentTargetsAt = answeredAt;
     m_view.m_targets.recordStoreAnswer(answeredAt);
     m_view.m_router.recordStoreAnswer(answeredAt);
 }
 
+void RoutingView::TargetObserver::onFailure(const Error& error)
+{
+    passedOn = StoreVersion();
+    FeedObserver::onFailure(error);
+}
+
 bool RoutingView::TargetObserver::expectsChanges() const
 {
-    return m_view.m_targets.hasMissing() || m_view.m_router.hasUnresolvedTokens();
+    return m_view.needsCurrentTargets() || m_view.m_members.anyNeedsCurrentTargets();
 }
 
 void RoutingView::TargetObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
@@ -65,9 +75,10 @@
         logField("entries", entries.size()), logField("targets", m_view.m_targets.size()));
     m_view.updateFreshness();
     m_view.notifyIfComplete();
+    m_view.notifyChange();
 }
 
-void RoutingView::TargetObserver::onChanges(const std::vector<StoreEntry>& entries, StoreVersion)
+void RoutingView::TargetObserver::onChanges(const std::vector<StoreEntry>& entries, StoreVersion version)
 {
     const MonotonicTime now = m_view.m_clock.now();
     std::vector<RemovedEntry> removed;
@@ -77,9 +88,9 @@
         else
             removed.push_back({ .name = entry.name, .version = entry.version });
     }
-    if (removed.empty())
-        return;
-    m_view.m_targets.remove(removed, now);
+    if (!removed.empty())
+        m_view.m_targets.remove(removed, version, now);
+    m_view.notifyChange();
 }
 
 void RoutingView::RouteObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
@@ -94,16 +105,37 @@
             m_view.putRoutes(entry);
     }
     m_view.notifyIfComplete();
+    m_view.notifyChange();
 }
 
-ViewSnapshot RoutingView::snapshot() const
+bool RoutingView::needsPeerView() const
 {
-    return { .routes = m_router.routes(),
-        .targets = m_targets.presentTargets(m_clock.now()),
+    return (!m_targetObserver.inContact || !m_routeObserver.inContact) && !isConfirmedByRelay();
+}
+
+ViewSnapshot RoutingView::snapshot(const KnownVersions& known) const
+{
+    TargetChanges changes = m_targets.changesSince(known.targets, m_clock.now());
+    const RouteTablePointer& routes = m_router.routes();
+    return { .routes = routes->version() > known.config ? routes : nullptr,
+        .targets = std::move(changes.targets),
+        .complete = changes.complete,
         .targetsVersion = targetsVersion(),
         .targetsAge = targetsAge() };
 }
 
+ViewStatus RoutingView::status() const
+{
+    const MonotonicTime now = m_clock.now();
+    const KnownVersions known = knownVersions();
+    return { .targets = known.targets,
+        .lastTargetChange = m_targets.lastChange(),
+        .config = known.config,
+        .targetsAge = targetsAge(),
+        .currentTargetsAge = now - m_currentTargetsAt,
+        .routesAge = routesAge() };
+}
+
 KnownVersions RoutingView::knownVersions() const
 {
     const RouteTablePointer& routes = m_router.routes();
@@ -116,14 +148,16 @@
     const KnownVersions known = knownVersions();
     if (view.targetsVersion > known.targets)
         applyPeerTargets(view);
-    if (view.routes->version() > known.config)
+    if (view.routes && view.routes->version() > known.config)
         m_router.setRoutes(view.routes);
     ++m_peerViewsApplied;
     notifyIfComplete();
+    notifyChange();
     m_log.write(EventKind::Store, "peer_view_taken", logField("peer", peer.toString()),
         logField("targets_version", view.targetsVersion.value()), logField("known_version", known.targets.value()),
         logField("age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(view.targetsAge).count()),
-        logField("config_version", view.routes->version().value()), logField("targets", view.targets.size()));
+        logField("config_version", view.routes ? view.routes->version().value() : known.config.value()),
+        logField("targets", view.targets.size()));
 }
 
 void RoutingView::applyPeerTargets(const ViewSnapshot& view)
@@ -131,15 +165,61 @@
     const MonotonicTime now = m_clock.now();
     std::vector<std::string> names;
     for (const VersionedTarget& target : view.targets) {
-        m_targets.put(target.record, target.version, now);
+        m_targets.adopt(target, now);
         names.push_back(target.record.name);
     }
-    m_targets.retainOnly(names, view.targetsVersion, now);
+    if (view.complete)
+        m_targets.retainOnly(names, view.targetsVersion, now);
     m_targetObserver.answeredVersion = view.targetsVersion;
     m_targetObserver.answeredAt = now - view.targetsAge;
     m_hasTargets = true;
 }
 
+void RoutingView::onRelayConfirmation(const ViewStatus& status, MonotonicTime receivedAt)
+{
+    m_targetObserver.answeredVersion = std::max(m_targetObserver.answeredVersion, status.targets);
+    m_targetObserver.passedOn = m_targetObserver.answeredVersion;
+    m_relayTargetsAt = std::max(m_relayTargetsAt, receivedAt - status.targetsAge);
+    m_relayRoutesAt = std::max(m_relayRoutesAt, receivedAt - status.routesAge);
+    m_hasRelayConfirmation = true;
+    m_targetObserver.answeredAt = std::max(m_targetObserver.answeredAt, m_relayTargetsAt);
+    m_routeObserver.answeredAt = std::max(m_routeObserver.answeredAt, m_relayRoutesAt);
+    const MonotonicTime currentAt = receivedAt - status.currentTargetsAge;
+    if (currentAt > m_currentTargetsAt) {
+        m_currentTargetsAt = currentAt;
+        m_targets.recordStoreAnswer(currentAt);
+        m_router.recordStoreAnswer(currentAt);
+    }
+    if (isConfirmedByRelay())
+        m_hasStoreTargets = m_hasTargets;
+    updateFreshness();
+}
+
+Duration RoutingView::relayConfirmationRemaining() const
+{
+    if (!m_hasRelayConfirmation || !isComplete())
+        return Duration::zero();
+    return std::min(m_relayTargetsAt, m_relayRoutesAt) + m_options.maxRelayAge - m_clock.now();
+}
+
+Duration RoutingView::untilStoreNeeded() const
+{
+    return m_members.isRelay() ? Duration::zero() : relayConfirmationRemaining();
+}
+
+std::chrono::milliseconds RoutingView::maxWatchWait() const
+{
+    if (!m_members.hasFollowers())
+        return std::chrono::hours(1);
+    return m_options.maxRelayAge - m_options.relayMargin;
+}
+
+void RoutingView::notifyChange()
+{
+    if (isComplete() && m_onChange)
+        m_onChange();
+}
+
 void RoutingView::onPeerFailure(const Ipv4Endpoint& peer, const Error& error)
 {
     m_log.write(EventKind::Store, "peer_failed", logField("peer", peer.toString()),
@@ -183,6 +263,9 @@
         std::exchange(m_onComplete, nullptr)();
 }
 
-void RoutingView::updateFreshness() { m_router.setViewCurrent(m_hasStoreTargets && m_targetObserver.inContact); }
+void RoutingView::updateFreshness()
+{
+    m_router.setViewCurrent(m_hasStoreTargets && (m_targetObserver.inContact || isConfirmedByRelay()));
+}
 
 } // namespace anvilwalk
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -2,20 +2,29 @@
 
 #include <anvilwalk/discovery.h>
 #include <anvilwalk/eventlog.h>
+#include <anvilwalk/membership.h>
 #include <anvilwalk/placement.h>
 #include <anvilwalk/units.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <utility>
 
 namespace anvilwalk {
 
-// The balancer's view of targets and routes. Applies store updates to the target catalogue and the router and logs each
-// change; while the store is unreachable, applies the views of peers.
+struct RoutingViewOptions {
+    // A view that a relay has confirmed at most this long ago needs no reads of the store.
+    std::chrono::milliseconds maxRelayAge { 2000 };
+    // Part of that time which remains for a relay's answer to arrive after its longest watch.
+    std::chrono::milliseconds relayMargin { 1000 };
+};
+
+// The balancer's view of targets and routes. Applies the changes that the store or a relay reports to the target
+// catalogue and the router and logs each of them; while neither answers, applies the views of other peers.
 class RoutingView final : public PeerViewObserver {
 public:
-    RoutingView(TargetCatalogue&, TokenRouter&, EventLog&, const Clock&);
+    RoutingView(const RoutingViewOptions&, TargetCatalogue&, TokenRouter&, const MemberList&, EventLog&, const Clock&);
 
     StoreFeedObserver& targetObserver() { return m_targetObserver; }
     StoreFeedObserver& routeObserver() { return m_routeObserver; }
@@ -24,14 +33,24 @@
     bool isComplete() const { return m_hasTargets && m_router.routes() != nullptr; }
     // Sets a handler that is called once, when the view becomes complete.
     void onComplete(std::function<void()> handler) { m_onComplete = std::move(handler); }
-    // Returns the view for a peer. Requires isComplete().
-    ViewSnapshot snapshot() const;
+    // Sets a handler that is called after each change, so that relays announce it.
+    void onChange(std::function<void()> handler) { m_onChange = std::move(handler); }
+    // Returns what is newer than the versions that a peer has. Requires isComplete().
+    ViewSnapshot snapshot(const KnownVersions& = {}) const;
+    ViewStatus status() const;
+    // Whether a relay has confirmed this view recently enough.
+    bool isConfirmedByRelay() const { return relayConfirmationRemaining() > Duration::zero(); }
+    // Whether a read of targets that is not stale is needed to decide about missing targets or unknown tokens.
+    bool needsCurrentTargets() const { return m_targets.hasMissing() || m_router.hasUnresolvedTokens(); }
+    // Recomputes what depends on the age of the view.
+    void refresh() { updateFreshness(); }
     std::uint64_t peerViewsApplied() const { return m_peerViewsApplied; }
 
-    bool needsPeerView() const override { return !m_targetObserver.inContact || !m_routeObserver.inContact; }
+    bool needsPeerView() const override;
     KnownVersions knownVersions() const override;
     void onPeerView(const ViewSnapshot&, const Ipv4Endpoint& peer) override;
     void onPeerFailure(const Ipv4Endpoint& peer, const Error&) override;
+    void onRelayConfirmation(const ViewStatus&, MonotonicTime receivedAt) override;
 
     // Store version of the last answer about targets, and the time since that answer.
     StoreVersion targetsVersion() const { return m_targetObserver.answeredVersion; }
@@ -50,6 +69,8 @@
         void onReachable() override;
         void onResponse(StoreVersion, ReadFreshness) override;
         void onFailure(const Error&) override;
+        Duration untilNeeded() const override { return m_view.untilStoreNeeded(); }
+        std::chrono::milliseconds maxWatchWait() const override { return m_view.maxWatchWait(); }
 
         bool inContact = false;
         // Version and time of the last answer.
@@ -66,8 +87,13 @@
         using FeedObserver::FeedObserver;
         void onResponse(StoreVersion, ReadFreshness) override;
         bool expectsChanges() const override;
+        StoreVersion passedOnVersion() const override { return passedOn; }
+        void onFailure(const Error&) override;
         void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) override;
         void onChanges(const std::vector<StoreEntry>&, StoreVersion) override;
+
+        // Version of the last confirmation by a relay since the last failed call.
+        StoreVersion passedOn;
     };
 
     class RouteObserver final : public FeedObserver {
@@ -82,19 +108,33 @@
     void applyPeerTargets(const ViewSnapshot&);
     void updateFreshness();
     void notifyIfComplete();
+    void notifyChange();
+    Duration relayConfirmationRemaining() const;
+    // Time for which relays make reads of the store unnecessary.
+    Duration untilStoreNeeded() const;
+    std::chrono::milliseconds maxWatchWait() const;
 
+    RoutingViewOptions m_options;
     TargetCatalogue& m_targets;
     TokenRouter& m_router;
+    const MemberList& m_members;
     EventLog& m_log;
     const Clock& m_clock;
     TargetObserver m_targetObserver;
     RouteObserver m_routeObserver;
     // A full list of targets has been read, from the store or a peer.
     bool m_hasTargets = false;
-    // A full list of targets has been read from the store.
+    // A full list of targets has been read from the store, by this balancer or a relay.
     bool m_hasStoreTargets = false;
+    // When the store last answered reads, as far as relays have confirmed it for this view.
+    MonotonicTime m_relayTargetsAt;
+    MonotonicTime m_relayRoutesAt;
+    bool m_hasRelayConfirmation = false;
+    // When the store last answered a read of targets that was not stale, to this balancer or a relay.
+    MonotonicTime m_currentTargetsAt;
     std::uint64_t m_peerViewsApplied = 0;
     std::function<void()> m_onComplete;
+    std::function<void()> m_onChange;
 };
 
 } // namespace anvilwalk
--- a/packages/discovery/include/anvilwalk/discovery.h
+++ b/packages/discovery/include/anvilwalk/discovery.h
@@ -6,6 +6,7 @@
 #include <anvilwalk/discovery/HttpGetClient.h>
 #include <anvilwalk/discovery/HttpPeerReader.h>
 #include <anvilwalk/discovery/PeerViewFeed.h>
+#include <anvilwalk/discovery/RelayFeed.h>
 #include <anvilwalk/discovery/StoreFeed.h>
 #include <anvilwalk/discovery/StoreReader.h>
 #include <anvilwalk/discovery/ViewSnapshot.h>
--- a/packages/discovery/include/anvilwalk/discovery/HttpGetClient.h
+++ b/packages/discovery/include/anvilwalk/discovery/HttpGetClient.h
@@ -25,8 +25,9 @@
     std::string body;
 };
 
-// HTTP/1.1 GET client. Sends one request at a time over a persistent connection, which is opened on demand and closed
-// after a failed request.
+// HTTP/1.1 GET client. Sends requests over a persistent connection, which is opened on demand and closed after a failed
+// request. A request that fails on a connection that was idle before is sent once more over a new one. Requests that
+// overlap use connections of their own.
 class HttpGetClient {
 public:
     HttpGetClient(const HttpGetClientOptions&, boost::asio::io_context&);
--- a/packages/discovery/include/anvilwalk/discovery/HttpPeerReader.h
+++ b/packages/discovery/include/anvilwalk/discovery/HttpPeerReader.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <anvilwalk/discovery/HttpGetClient.h>
 #include <anvilwalk/discovery/PeerViewFeed.h>
 #include <anvilwalk/units.h>
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,7 +27,7 @@
     std::size_t maxViewBytes = 8 << 20;
 };
 
-// Fetches the views of peers over HTTP, with a new connection for each request.
+// Fetches the views of peers over persistent HTTP connections.
 class HttpPeerReader final : public PeerReader {
 public:
     HttpPeerReader(const HttpPeerReaderOptions&, boost::asio::io_context&);
@@ -33,8 +36,11 @@
         const Ipv4Endpoint& peer, const KnownVersions&) override;
 
 private:
+    std::shared_ptr<HttpGetClient> clientFor(const Ipv4Endpoint& peer);
+
     HttpPeerReaderOptions m_options;
     boost::asio::io_context& m_context;
+    std::map<Ipv4Endpoint, std::shared_ptr<HttpGetClient>> m_clients;
 };
 
 } // namespace anvilwalk
--- a/packages/discovery/include/anvilwalk/discovery/PeerViewFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/PeerViewFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <anvilwalk/discovery/ViewSnapshot.h>
+#include <anvilwalk/membership.h>
 #include <anvilwalk/units.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -45,6 +46,8 @@
     virtual KnownVersions knownVersions() const = 0;
     virtual void onPeerView(const ViewSnapshot&, const Ipv4Endpoint& peer) = 0;
     virtual void onPeerFailure(const Ipv4Endpoint& peer, const Error&) = 0;
+    // This balancer's view is as recent as that of a relay, whose status was received at the given time.
+    virtual void onRelayConfirmation(const ViewStatus&, MonotonicTime receivedAt) = 0;
 };
 
 struct PeerViewFeedOptions {
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -30,6 +30,12 @@
     // Whether missing entries are about to reappear or expire, so that the next watch must be short and must not be
     // answered from a stale replica.
     virtual bool expectsChanges() const { return false; }
+    // Time for which the store need not be read, because other balancers pass its changes on.
+    virtual Duration untilNeeded() const { return Duration::zero(); }
+    // Version up to which other balancers have passed on all changes since the last failed call; 0 if unknown.
+    virtual StoreVersion passedOnVersion() const { return {}; }
+    // Upper limit of a watch's wait, for balancers on which others rely.
+    virtual std::chrono::milliseconds maxWatchWait() const { return std::chrono::hours(1); }
     // Called for each failed call.
     virtual void onFailure(const Error&) = 0;
 };
@@ -39,7 +45,8 @@
     std::chrono::milliseconds watchWait { 5000 };
     // The same while changes are expected; slightly longer than the time after which missing targets expire.
     std::chrono::milliseconds shortWatchWait { 2600 };
-    // Whether watches may be answered from a stale replica while no changes are expected.
+    // Whether lists, and watches while no changes are expected, may be answered from a stale replica. A stale list is
+    // brought up to date with one current read before it is delivered.
     bool allowStale = false;
     // Delay after a watch that returned changes, so that changes in quick succession are fetched with one call.
     std::chrono::milliseconds changeDelay { 500 };
@@ -51,7 +58,8 @@
 
 // Keeps a replica of one kind of entry up to date: lists all entries, then watches for changes, and lists again after
 // each failed watch. A list whose page request was rejected resumes at that page, because many balancers that start at
-// the same time request more pages per second than the store serves.
+// the same time request more pages per second than the store serves; for the same reason lists are stale reads, which
+// the store does not limit.
 class StoreFeed {
 public:
     StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&);
@@ -63,13 +71,23 @@
     // State of a paginated list in progress.
     struct Listing {
         std::vector<StoreEntry> entries;
-        // Version of the first page. Later pages may be newer, so a watch from this version misses no change.
+        // Version of the oldest page, so that a watch from this version misses no change.
         StoreVersion version;
         // The next page starts after this name.
         std::string after;
+        // All pages have been read.
+        bool complete = false;
     };
 
+    // Waits while other balancers pass the changes on.
+    boost::asio::awaitable<void> waitUntilNeeded();
+    void resumeAfterPause();
     boost::asio::awaitable<bool> fetchSnapshot();
+    boost::asio::awaitable<bool> fetchPages(ReadFreshness);
+    // Reads the changes since a stale list without waiting for new ones.
+    boost::asio::awaitable<bool> fetchChangesSinceList();
+    void deliverListing();
+    void applyChanges(const StoreChanges&, ReadFreshness);
     boost::asio::awaitable<bool> fetchChanges();
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     void handleSuccess(StoreVersion, ReadFreshness);
@@ -83,6 +101,8 @@
     pcg32 m_random;
     StoreVersion m_version;
     Listing m_listing;
+    // The store has discarded the changes since the last stale list, so the next list must be current.
+    bool m_listCurrent = false;
     bool m_hasSnapshot = false;
     bool m_reachable = false;
     std::chrono::milliseconds m_retryDelay;
--- a/packages/discovery/include/anvilwalk/discovery/StoreReader.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreReader.h
@@ -56,7 +56,7 @@
     virtual ~StoreReader() = default;
 
     // Lists entries in name order, starting after the given name; an empty name starts at the first entry.
-    virtual boost::asio::awaitable<Result<StorePage>> list(std::string after) = 0;
+    virtual boost::asio::awaitable<Result<StorePage>> list(std::string after, ReadFreshness) = 0;
     // Returns the changes after a version; waits up to the given time for the first one.
     virtual boost::asio::awaitable<Result<StoreChanges>> watch(
         StoreVersion from, std::chrono::milliseconds wait, ReadFreshness)
--- a/packages/discovery/include/anvilwalk/discovery/ViewSnapshot.h
+++ b/packages/discovery/include/anvilwalk/discovery/ViewSnapshot.h
@@ -9,11 +9,16 @@
 
 namespace anvilwalk {
 
-// The routes and targets known to one balancer, in the form in which it shares them with its peers.
+// The routes and targets known to one balancer, in the form in which it shares them with its peers. Contains only what
+// the receiver does not have yet.
 struct ViewSnapshot {
+    // Null if the receiver has this configuration.
     RouteTablePointer routes;
-    // All targets in the store at targetsVersion.
+    // All targets that were in the store at targetsVersion or terminated recently, or those that changed since the
+    // receiver's version.
     std::vector<VersionedTarget> targets;
+    // Whether these are all targets.
+    bool complete = true;
     StoreVersion targetsVersion;
     // Time since the store last confirmed the targets.
     Duration targetsAge { 0 };
--- a/packages/discovery/src/HttpGetClient.cpp
+++ b/packages/discovery/src/HttpGetClient.cpp
@@ -74,7 +74,8 @@
 {
     // Moved out until the request succeeds, so that a failed request never leaves its connection for reuse.
     auto connection = std::exchange(m_connection, nullptr);
-    if (!connection) {
+    const bool reused = connection != nullptr;
+    if (!reused) {
         connection = std::make_unique<Connection>(m_context, m_options);
         if (const auto error = co_await connection->open())
             co_return unavailable("connect: " + error.message());
@@ -82,7 +83,15 @@
     http::request<http::empty_body> request(http::verb::get, target, httpVersion11);
     request.set(http::field::host, m_options.server.toString());
     http::response<http::string_body> response;
-    if (const auto error = co_await connection->exchange(request, response, timeout))
+    auto error = co_await connection->exchange(request, response, timeout);
+    if (error && reused && error != beast::error::timeout) {
+        // The server may close an idle connection at any time.
+        connection = std::make_unique<Connection>(m_context, m_options);
+        error = co_await connection->open();
+        if (!error)
+            error = co_await connection->exchange(request, response, timeout);
+    }
+    if (error)
         co_return unavailable("GET " + target + ": " + error.message());
     if (response.keep_alive())
         m_connection = std::move(connection);
--- a/packages/discovery/src/HttpPeerReader.cpp
+++ b/packages/discovery/src/HttpPeerReader.cpp
@@ -1,7 +1,5 @@
 #include <anvilwalk/discovery/HttpPeerReader.h>
 
-#include <anvilwalk/discovery/HttpGetClient.h>
-
 #include <charconv>
 #include <fmt/format.h>
 
@@ -13,6 +11,9 @@
 
     constexpr std::string_view viewPrefix = "/v1/view/";
 
+    // More peers than a balancer usually reads from: the relays of its data centre and the seeds.
+    constexpr std::size_t maxClients = 8;
+
     constexpr unsigned httpOk = 200;
     constexpr unsigned httpNotModified = 304;
 
@@ -54,13 +55,26 @@
 {
 }
 
+std::shared_ptr<HttpGetClient> HttpPeerReader::clientFor(const Ipv4Endpoint& peer)
+{
+    if (m_clients.size() >= maxClients && !m_clients.contains(peer))
+        m_clients.clear();
+    std::shared_ptr<HttpGetClient>& client = m_clients[peer];
+    if (!client) {
+        const HttpGetClientOptions options {
+            .server = peer, .connectTimeout = m_options.connectTimeout, .maxBodyBytes = m_options.maxViewBytes
+        };
+        client = std::make_shared<HttpGetClient>(options, m_context);
+    }
+    return client;
+}
+
 asio::awaitable<Result<std::optional<ViewSnapshot>>> HttpPeerReader::read(
     const Ipv4Endpoint& peer, const KnownVersions& known)
 {
-    HttpGetClient client(
-        { .server = peer, .connectTimeout = m_options.connectTimeout, .maxBodyBytes = m_options.maxViewBytes },
-        m_context);
-    const Result<HttpResponse> response = co_await client.get(viewPath(known), m_options.responseTimeout);
+    // Kept alive by this coroutine, because another call may replace the clients meanwhile.
+    const std::shared_ptr<HttpGetClient> client = clientFor(peer);
+    const Result<HttpResponse> response = co_await client->get(viewPath(known), m_options.responseTimeout);
     if (!isOk(response))
         co_return errorOf(response);
     if (valueOf(response).status == httpNotModified)
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -23,6 +23,9 @@
 
 namespace {
 
+    // Wait time of a watch that returns the changes that exist already; the shortest that the store accepts.
+    constexpr std::chrono::milliseconds immediateWait { 1 };
+
     // The last non-empty name; empty if there is none.
     std::string lastName(const std::vector<StoreEntry>& entries)
     {
@@ -38,6 +41,7 @@
 asio::awaitable<void> StoreFeed::run()
 {
     for (;;) {
+        co_await waitUntilNeeded();
         bool ok = false;
         if (m_hasSnapshot)
             ok = co_await fetchChanges();
@@ -48,38 +52,95 @@
     }
 }
 
+asio::awaitable<void> StoreFeed::waitUntilNeeded()
+{
+    bool paused = false;
+    for (;;) {
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(m_observer.untilNeeded());
+        if (wait <= std::chrono::milliseconds::zero())
+            break;
+        paused = true;
+        co_await sleepFor(wait);
+    }
+    if (paused)
+        resumeAfterPause();
+}
+
+void StoreFeed::resumeAfterPause()
+{
+    // The store may have discarded the changes since this balancer's own last watch.
+    m_hasSnapshot = false;
+    m_listing = {};
+    if (m_observer.passedOnVersion() == StoreVersion())
+        return;
+    m_version = std::max(m_version, m_observer.passedOnVersion());
+    m_hasSnapshot = true;
+}
+
 asio::awaitable<bool> StoreFeed::fetchSnapshot()
 {
-    bool more = true;
-    while (more) {
+    const bool stale = m_options.allowStale && !m_listCurrent;
+    if (!co_await fetchPages(stale ? ReadFreshness::MayBeStale : ReadFreshness::Current))
+        co_return false;
+    if (stale)
+        co_return co_await fetchChangesSinceList();
+    deliverListing();
+    co_return true;
+}
+
+asio::awaitable<bool> StoreFeed::fetchPages(ReadFreshness freshness)
+{
+    while (!m_listing.complete) {
         const std::string after = m_listing.after;
-        auto result = co_await m_reader.list(after);
+        auto result = co_await m_reader.list(after, freshness);
         if (!isOk(result)) {
             handleFailure(errorOf(result));
             co_return false;
         }
         m_retryDelay = m_options.retryDelay;
         StorePage& page = valueOf(result);
-        if (m_listing.version == StoreVersion())
-            m_listing.version = page.version;
+        // The first page has no predecessor.
+        m_listing.version = after.empty() ? page.version : std::min(m_listing.version, page.version);
         const std::string last = lastName(page.entries);
         // Stop at a page that does not advance the cursor; otherwise it would be requested forever.
-        more = page.more && last > after;
+        m_listing.complete = !page.more || last <= after;
         m_listing.after = last;
         std::move(page.entries.begin(), page.entries.end(), std::back_inserter(m_listing.entries));
     }
+    co_return true;
+}
+
+asio::awaitable<bool> StoreFeed::fetchChangesSinceList()
+{
+    const auto result = co_await m_reader.watch(m_listing.version, immediateWait, ReadFreshness::Current);
+    if (!isOk(result)) {
+        if (errorOf(result).code == ErrorCode::Gone) {
+            m_listing = {};
+            m_listCurrent = true;
+        }
+        handleFailure(errorOf(result));
+        co_return false;
+    }
+    deliverListing();
+    applyChanges(valueOf(result), ReadFreshness::Current);
+    co_return true;
+}
+
+void StoreFeed::deliverListing()
+{
     const Listing listing = std::exchange(m_listing, {});
+    m_listCurrent = false;
     handleSuccess(listing.version, ReadFreshness::Current);
     m_version = std::max(m_version, listing.version);
     m_hasSnapshot = true;
     m_observer.onSnapshot(listing.entries, listing.version);
-    co_return true;
 }
 
 asio::awaitable<bool> StoreFeed::fetchChanges()
 {
     const bool changesExpected = m_observer.expectsChanges();
-    const auto wait = changesExpected ? std::min(m_options.watchWait, m_options.shortWatchWait) : m_options.watchWait;
+    const auto longest = std::min(m_options.watchWait, m_observer.maxWatchWait());
+    const auto wait = changesExpected ? std::min(longest, m_options.shortWatchWait) : longest;
     const auto freshness
         = m_options.allowStale && !changesExpected ? ReadFreshness::MayBeStale : ReadFreshness::Current;
     auto result = co_await m_reader.watch(m_version, wait, freshness);
@@ -90,14 +151,18 @@
         handleFailure(errorOf(result));
         co_return false;
     }
-    const StoreChanges& changes = valueOf(result);
+    applyChanges(valueOf(result), freshness);
+    if (!valueOf(result).entries.empty())
+        co_await sleepFor(m_options.changeDelay);
+    co_return true;
+}
+
+void StoreFeed::applyChanges(const StoreChanges& changes, ReadFreshness freshness)
+{
     handleSuccess(changes.version, freshness);
     m_version = std::max(m_version, changes.version);
-    if (changes.entries.empty())
-        co_return true;
-    m_observer.onChanges(changes.entries, changes.version);
-    co_await sleepFor(m_options.changeDelay);
-    co_return true;
+    if (!changes.entries.empty())
+        m_observer.onChanges(changes.entries, changes.version);
 }
 
 asio::awaitable<void> StoreFeed::sleepFor(std::chrono::milliseconds time)
--- a/packages/discovery/src/ViewSnapshot.cpp
+++ b/packages/discovery/src/ViewSnapshot.cpp
@@ -15,7 +15,7 @@
 
     // Incremented when the meaning of a field changes, so that balancers of different releases reject each other's
     // views instead of misinterpreting them.
-    constexpr int formatVersion = 1;
+    constexpr int formatVersion = 2;
 
     json encodeService(const WeightedService& service)
     {
@@ -43,8 +43,9 @@
     json encodeTarget(const VersionedTarget& target)
     {
         const TargetRecord& record = target.record;
-        return { { "name", record.name }, { "version", target.version.value() }, { "key", record.key.value() },
-            { "started_ms", record.startedMs }, { "service", record.service.value() },
+        return { { "name", record.name }, { "version", target.version.value() },
+            { "read_version", target.readVersion.value() }, { "presence", static_cast<unsigned>(target.presence) },
+            { "key", record.key.value() }, { "started_ms", record.startedMs }, { "service", record.service.value() },
             { "address", record.address.toString() }, { "data_centre", record.dataCentre.value() },
             { "slots", record.slots }, { "draining", record.state == TargetState::Draining },
             { "cold_ms", record.coldRemaining.count() } };
@@ -114,6 +115,14 @@
             readMilliseconds(object, "idle_timeout_ms"));
     }
 
+    TargetPresence readPresence(const json& object)
+    {
+        const std::uint64_t presence = readUnsigned(object, "presence");
+        if (presence > static_cast<std::uint64_t>(TargetPresence::Gone))
+            throw std::invalid_argument("unknown presence of a target");
+        return static_cast<TargetPresence>(presence);
+    }
+
     VersionedTarget readTarget(const json& object)
     {
         const auto address = Ipv4Endpoint::parse(readString(object, "address"));
@@ -128,15 +137,20 @@
             .slots = readNumber<std::uint32_t>(object, "slots", 1),
             .state = object.at("draining").get<bool>() ? TargetState::Draining : TargetState::Ready,
             .coldRemaining = readMilliseconds(object, "cold_ms") };
-        return { .record = std::move(record), .version = StoreVersion(readUnsigned(object, "version")) };
+        return { .record = std::move(record),
+            .version = StoreVersion(readUnsigned(object, "version")),
+            .readVersion = StoreVersion(readUnsigned(object, "read_version")),
+            .presence = readPresence(object) };
     }
 
     ViewSnapshot readView(const json& object)
     {
         if (readUnsigned(object, "format") != formatVersion)
             throw std::invalid_argument("unsupported format version");
-        ViewSnapshot view { .routes = readRoutes(object.at("config")),
+        const json& config = object.at("config");
+        ViewSnapshot view { .routes = config.is_null() ? nullptr : readRoutes(config),
             .targets = {},
+            .complete = object.at("complete").get<bool>(),
             .targetsVersion = StoreVersion(readUnsigned(object, "targets_version")),
             .targetsAge = readMilliseconds(object, "targets_age_ms") };
         for (const json& target : readArray(object, "targets"))
@@ -151,8 +165,9 @@
     json targets = json::array();
     for (const VersionedTarget& target : view.targets)
         targets.push_back(encodeTarget(target));
-    const json object = { { "format", formatVersion }, { "config", encodeRoutes(*view.routes) },
-        { "targets", std::move(targets) }, { "targets_version", view.targetsVersion.value() },
+    const json object = { { "format", formatVersion }, { "config", view.routes ? encodeRoutes(*view.routes) : json() },
+        { "targets", std::move(targets) }, { "complete", view.complete },
+        { "targets_version", view.targetsVersion.value() },
         { "targets_age_ms", duration_cast<milliseconds>(view.targetsAge).count() } };
     return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -34,12 +34,6 @@
     StoreVersion version;
 };
 
-// A target with the version of its entry in the store.
-struct VersionedTarget {
-    TargetRecord record;
-    StoreVersion version;
-};
-
 enum class TargetPresence : std::uint8_t {
     // The store lists the target.
     Listed,
@@ -49,10 +43,29 @@
     Gone,
 };
 
+// A target as one balancer knows it, for other balancers.
+struct VersionedTarget {
+    TargetRecord record;
+    // Version of the entry's last content.
+    StoreVersion version;
+    // Version of the store at which this state was read: the version of the content or of its removal.
+    StoreVersion readVersion {};
+    TargetPresence presence = TargetPresence::Listed;
+};
+
+// Targets that changed after a version of the store.
+struct TargetChanges {
+    std::vector<VersionedTarget> targets;
+    // These are all targets, because changes since that version are no longer known.
+    bool complete = false;
+};
+
 struct Target {
     TargetRecord record;
     FlowToken token;
     StoreVersion version;
+    // Version of the store at which the content or the removal was read.
+    StoreVersion readVersion;
     TargetPresence presence = TargetPresence::Listed;
     // When the target became missing or gone.
     MonotonicTime absentSince;
@@ -86,8 +99,10 @@
     void put(const TargetRecord&, StoreVersion, MonotonicTime now);
     // Records that the entry under this name is no longer valid: it cannot be parsed or is owned by another writer.
     void putInvalid(const std::string& name, StoreVersion, MonotonicTime now);
-    // Removes one batch of entries that are no longer in the store.
-    void remove(const std::vector<RemovedEntry>&, MonotonicTime now);
+    // Removes one batch of entries that were no longer in the store at the given version.
+    void remove(const std::vector<RemovedEntry>&, StoreVersion readVersion, MonotonicTime now);
+    // Adopts the state of a target as another balancer has read it from the store. Ignored if it is not newer.
+    void adopt(const VersionedTarget&, MonotonicTime now);
     // Removes all entries but these, which were the complete contents of the store at this version.
     void retainOnly(const std::vector<std::string>& names, StoreVersion, MonotonicTime now);
     // Records that a call to the store failed or timed out. Removals that follow may be caused by expiry of the
@@ -109,14 +124,16 @@
     Target* find(FlowToken);
     // Returns the listed and missing targets of a service, in the same order on all balancers.
     const std::vector<Target*>& targetsOf(const ServiceName&);
-    // Returns the listed and missing targets of all services with their remaining warm-up time.
-    std::vector<VersionedTarget> presentTargets(MonotonicTime now) const;
+    // Returns the targets that changed after a version, or all targets with 0, with their remaining warm-up time.
+    TargetChanges changesSince(StoreVersion, MonotonicTime now) const;
+    // Version of the store at which the last change was read.
+    StoreVersion lastChange() const;
     std::size_t size() const { return m_byName.size(); }
 
 private:
     bool isGracePeriodOver(const Target&, MonotonicTime now) const;
     bool mayHaveExpired(std::size_t removed, MonotonicTime now) const;
-    void markAbsent(Target&, bool mayReturn, MonotonicTime now);
+    void markAbsent(Target&, TargetPresence, MonotonicTime now);
     // Rebuilds the indexes by token and service if they are out of date. Done lazily, because many entries may change
     // between two packets.
     void updateIndex();
@@ -129,6 +146,8 @@
     bool m_indexCurrent = true;
     absl::flat_hash_map<FlowToken, Target*> m_byToken;
     absl::flat_hash_map<ServiceName, std::vector<Target*>> m_byService;
+    // Changes up to this version may have been discarded with their targets.
+    StoreVersion m_discardedVersion;
     MonotonicTime m_lastOutage;
     MonotonicTime m_lastAnswer;
     bool m_hadOutage = false;
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -38,6 +38,7 @@
     known->record = record;
     known->token = tokenOf(record.key);
     known->version = version;
+    known->readVersion = version;
     known->presence = TargetPresence::Listed;
     known->coldUntil = now + record.coldRemaining;
     m_indexCurrent = false;
@@ -49,14 +50,15 @@
     if (found == m_byName.end() || version <= found->second->version)
         return;
     found->second->version = version;
+    found->second->readVersion = version;
     // The entry was changed by another writer; the target itself may still be running.
-    markAbsent(*found->second, true, now);
+    markAbsent(*found->second, TargetPresence::Missing, now);
     m_indexCurrent = false;
 }
 
-void TargetCatalogue::remove(const std::vector<RemovedEntry>& entries, MonotonicTime now)
+void TargetCatalogue::remove(const std::vector<RemovedEntry>& entries, StoreVersion readVersion, MonotonicTime now)
 {
-    const bool mayReturn = mayHaveExpired(entries.size(), now);
+    const auto presence = mayHaveExpired(entries.size(), now) ? TargetPresence::Missing : TargetPresence::Gone;
     bool changed = false;
     for (const RemovedEntry& entry : entries) {
         const auto found = m_byName.find(entry.name);
@@ -67,7 +69,8 @@
         target.version = entry.version;
         if (target.presence != TargetPresence::Listed)
             continue;
-        markAbsent(target, mayReturn, now);
+        target.readVersion = std::max(readVersion, entry.version);
+        markAbsent(target, presence, now);
         changed = true;
     }
     if (changed)
@@ -82,7 +85,22 @@
         if (target->presence == TargetPresence::Listed && !kept.contains(name))
             removed.push_back({ .name = name, .version = version });
     }
-    remove(removed, now);
+    remove(removed, version, now);
+}
+
+void TargetCatalogue::adopt(const VersionedTarget& target, MonotonicTime now)
+{
+    put(target.record, target.version, now);
+    Target& known = *m_byName[target.record.name];
+    // A removal does not change the version of the entry, so an equal version may be newer.
+    if (target.presence == TargetPresence::Listed || target.version < known.version
+        || known.presence == TargetPresence::Gone)
+        return;
+    known.version = target.version;
+    known.readVersion = std::max(known.readVersion, target.readVersion);
+    if (known.presence != target.presence)
+        markAbsent(known, target.presence, now);
+    m_indexCurrent = false;
 }
 
 bool TargetCatalogue::mayHaveExpired(std::size_t removed, MonotonicTime now) const
@@ -93,9 +111,9 @@
     return removed >= m_options.massExpiryMinimum && removed * percent >= m_byName.size() * m_options.massExpiryPercent;
 }
 
-void TargetCatalogue::markAbsent(Target& target, bool mayReturn, MonotonicTime now)
+void TargetCatalogue::markAbsent(Target& target, TargetPresence presence, MonotonicTime now)
 {
-    target.presence = mayReturn ? TargetPresence::Missing : TargetPresence::Gone;
+    target.presence = presence;
     target.absentSince = now;
     m_observer.onAbsent(target);
 }
@@ -120,14 +138,18 @@
     for (auto& [name, target] : m_byName) {
         if (target->presence != TargetPresence::Missing || !isGracePeriodOver(*target, now))
             continue;
-        markAbsent(*target, false, now);
+        markAbsent(*target, TargetPresence::Gone, now);
         changed = true;
     }
     const auto discardable = [&](const Target& target) {
         return target.presence == TargetPresence::Gone && now - target.absentSince >= m_options.goneRetention;
     };
-    const std::size_t discarded
-        = absl::erase_if(m_byName, [&](const auto& entry) { return discardable(*entry.second); });
+    const std::size_t discarded = absl::erase_if(m_byName, [&](const auto& entry) {
+        if (!discardable(*entry.second))
+            return false;
+        m_discardedVersion = std::max(m_discardedVersion, entry.second->readVersion);
+        return true;
+    });
     if (changed || discarded > 0)
         m_indexCurrent = false;
 }
@@ -147,17 +169,28 @@
     return found == m_byService.end() ? none : found->second;
 }
 
-std::vector<VersionedTarget> TargetCatalogue::presentTargets(MonotonicTime now) const
+TargetChanges TargetCatalogue::changesSince(StoreVersion version, MonotonicTime now) const
 {
-    std::vector<VersionedTarget> targets;
+    TargetChanges changes { .targets = {}, .complete = version == StoreVersion() || version < m_discardedVersion };
     for (const auto& [name, target] : m_byName) {
-        if (target->presence == TargetPresence::Gone)
+        if (!changes.complete && target->readVersion <= version)
             continue;
-        targets.push_back({ .record = target->record, .version = target->version });
+        changes.targets.push_back({ .record = target->record,
+            .version = target->version,
+            .readVersion = target->readVersion,
+            .presence = target->presence });
         const auto cold = std::chrono::duration_cast<std::chrono::milliseconds>(target->coldUntil - now);
-        targets.back().record.coldRemaining = std::max(cold, std::chrono::milliseconds(0));
+        changes.targets.back().record.coldRemaining = std::max(cold, std::chrono::milliseconds(0));
     }
-    return targets;
+    return changes;
+}
+
+StoreVersion TargetCatalogue::lastChange() const
+{
+    StoreVersion last = m_discardedVersion;
+    for (const auto& [name, target] : m_byName)
+        last = std::max(last, target->readVersion);
+    return last;
 }
 
 void TargetCatalogue::updateIndex()
--- a/tests/discovery/PeerViewFeedTest.cpp
+++ b/tests/discovery/PeerViewFeedTest.cpp
@@ -59,6 +59,7 @@
         known = { .targets = view.targetsVersion, .config = view.routes->version() };
     }
     void onPeerFailure(const Ipv4Endpoint&, const Error&) override { ++failures; }
+    void onRelayConfirmation(const ViewStatus&, MonotonicTime) override { }
 
     bool needsView = true;
     KnownVersions known;
@@ -122,6 +123,7 @@
         KnownVersions knownVersions() const override { return {}; }
         void onPeerView(const ViewSnapshot&, const Ipv4Endpoint&) override { ++views; }
         void onPeerFailure(const Ipv4Endpoint&, const Error&) override { }
+        void onRelayConfirmation(const ViewStatus&, MonotonicTime) override { }
         mutable int queries = 0;
         int views = 0;
     };
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -29,8 +29,9 @@
     {
     }
 
-    asio::awaitable<Result<StorePage>> list(std::string after) override
+    asio::awaitable<Result<StorePage>> list(std::string after, ReadFreshness freshness) override
     {
+        listFreshnesses.push_back(freshness);
         calls.push_back("list " + after);
         if (pages.empty()) {
             m_context.stop();
@@ -61,6 +62,7 @@
     std::vector<std::string> calls;
     std::vector<std::chrono::milliseconds> waits;
     std::vector<ReadFreshness> freshnesses;
+    std::vector<ReadFreshness> listFreshnesses;
 
 private:
     asio::io_context& m_context;
@@ -76,23 +78,34 @@
     void onResponse(StoreVersion, ReadFreshness) override { }
     void onFailure(const Error&) override { ++failures; }
     bool expectsChanges() const override { return changesExpected; }
+    Duration untilNeeded() const override
+    {
+        // Each pause ends when it has been waited for.
+        return pauses-- > 0 ? Duration(1ms) : Duration::zero();
+    }
+    StoreVersion passedOnVersion() const override { return passedOn; }
+    std::chrono::milliseconds maxWatchWait() const override { return longestWait; }
 
     std::vector<std::size_t> snapshots;
     std::vector<std::size_t> changes;
     int reachableCount = 0;
     int failures = 0;
     bool changesExpected = false;
+    mutable int pauses = 0;
+    StoreVersion passedOn;
+    std::chrono::milliseconds longestWait { std::chrono::hours(1) };
 };
 
 struct Fixture {
     asio::io_context context;
     ScriptedReader reader { context };
     RecordingObserver observer;
+    bool allowStale = false;
 
     void run()
     {
-        StoreFeed feed({ .allowStale = true, .changeDelay = 1ms, .retryDelay = 1ms, .maxRetryDelay = 2ms }, context,
-            reader, observer);
+        StoreFeed feed({ .allowStale = allowStale, .changeDelay = 1ms, .retryDelay = 1ms, .maxRetryDelay = 2ms },
+            context, reader, observer);
         asio::co_spawn(context, feed.run(), asio::detached);
         context.run_for(5s);
     }
@@ -181,17 +194,113 @@
 TEST_CASE("StoreFeed uses short, non-stale watches while changes are expected")
 {
     Fixture fixture;
+    fixture.allowStale = true;
     fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(9) });
     fixture.run();
-    REQUIRE(fixture.reader.waits.size() == 1);
-    CHECK(fixture.reader.waits[0] == StoreFeedOptions {}.watchWait);
-    CHECK(fixture.reader.freshnesses[0] == ReadFreshness::MayBeStale);
+    REQUIRE(fixture.reader.waits.size() == 2);
+    CHECK(fixture.reader.waits[1] == StoreFeedOptions {}.watchWait);
+    CHECK(fixture.reader.freshnesses[1] == ReadFreshness::MayBeStale);
 
     Fixture expecting;
+    expecting.allowStale = true;
     expecting.observer.changesExpected = true;
     expecting.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
+    expecting.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(9) });
     expecting.run();
-    REQUIRE(expecting.reader.waits.size() == 1);
-    CHECK(expecting.reader.waits[0] == StoreFeedOptions {}.shortWatchWait);
-    CHECK(expecting.reader.freshnesses[0] == ReadFreshness::Current);
+    REQUIRE(expecting.reader.waits.size() == 2);
+    CHECK(expecting.reader.waits[1] == StoreFeedOptions {}.shortWatchWait);
+    CHECK(expecting.reader.freshnesses[1] == ReadFreshness::Current);
+}
+
+// Guards against the use of a target that has left: a restarted balancer must not act on a list that is seconds old.
+TEST_CASE("StoreFeed delivers a stale list only together with the changes since")
+{
+    Fixture fixture;
+    fixture.allowStale = true;
+    fixture.reader.pages.push_back(
+        StorePage { .entries = { entry("a", 1), entry("b", 2) }, .more = true, .version = StoreVersion(9) });
+    // The replica that answered the second page is further behind than that of the first.
+    fixture.reader.pages.push_back(
+        StorePage { .entries = { entry("c", 3) }, .more = false, .version = StoreVersion(6) });
+    fixture.reader.changes.push_back(unavailable);
+    fixture.reader.changes.push_back(StoreChanges { .entries = { entry("b", 2) }, .version = StoreVersion(12) });
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "list b", "watch 6", "watch 6", "watch 12" });
+    CHECK(fixture.reader.listFreshnesses == std::vector<ReadFreshness>(2, ReadFreshness::MayBeStale));
+    CHECK(fixture.reader.freshnesses
+        == std::vector<ReadFreshness> { ReadFreshness::Current, ReadFreshness::Current, ReadFreshness::MayBeStale });
+    CHECK(fixture.reader.waits[0] == 1ms);
+    CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 3 });
+    CHECK(fixture.observer.changes == std::vector<std::size_t> { 1 });
+}
+
+// Guards against a balancer that never starts: a stale list may be older than the history that the store keeps.
+TEST_CASE("StoreFeed reads a current list when the store has discarded the changes since a stale one")
+{
+    Fixture fixture;
+    fixture.allowStale = true;
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
+    fixture.reader.pages.push_back(
+        StorePage { .entries = { entry("a", 9) }, .more = false, .version = StoreVersion(20) });
+    fixture.reader.changes.push_back(gone);
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "watch 5", "list ", "watch 20" });
+    CHECK(fixture.reader.listFreshnesses
+        == std::vector<ReadFreshness> { ReadFreshness::MayBeStale, ReadFreshness::Current });
+    CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 1 });
+}
+
+// Guards against calls to the store by balancers that relays keep up to date.
+TEST_CASE("StoreFeed reads nothing while other balancers pass the changes on, and then continues from their version")
+{
+    Fixture fixture;
+    fixture.observer.pauses = 3;
+    fixture.observer.passedOn = StoreVersion(40);
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "watch 40" });
+}
+
+// Guards against a missed change: the store may have discarded its history during the pause.
+TEST_CASE("StoreFeed lists after a pause if it does not know what other balancers have passed on")
+{
+    Fixture fixture;
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(50) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(6) });
+    // One pause, after the list and the watch.
+    struct PausingReader final : StoreReader {
+        explicit PausingReader(Fixture& owner)
+            : fixture(owner)
+        {
+        }
+        asio::awaitable<Result<StorePage>> list(std::string after, ReadFreshness freshness) override
+        {
+            return fixture.reader.list(std::move(after), freshness);
+        }
+        asio::awaitable<Result<StoreChanges>> watch(
+            StoreVersion from, std::chrono::milliseconds wait, ReadFreshness freshness) override
+        {
+            if (from == StoreVersion(5))
+                fixture.observer.pauses = 1;
+            return fixture.reader.watch(from, wait, freshness);
+        }
+        Fixture& fixture;
+    } reader(fixture);
+    StoreFeed feed(
+        { .changeDelay = 1ms, .retryDelay = 1ms, .maxRetryDelay = 2ms }, fixture.context, reader, fixture.observer);
+    asio::co_spawn(fixture.context, feed.run(), asio::detached);
+    fixture.context.run_for(5s);
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "watch 5", "list ", "watch 50" });
+}
+
+// Guards against followers that believe a view whose relay has lost its connection to the store unnoticed.
+TEST_CASE("StoreFeed limits its watches while other balancers rely on them")
+{
+    Fixture fixture;
+    fixture.observer.longestWait = 700ms;
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
+    fixture.run();
+    REQUIRE(fixture.reader.waits.size() == 1);
+    CHECK(fixture.reader.waits[0] == 700ms);
 }
--- a/tests/discovery/ViewSnapshotTest.cpp
+++ b/tests/discovery/ViewSnapshotTest.cpp
@@ -16,8 +16,12 @@
     TargetRecord draining = targetRecord(8, photoService, "lima-b", TargetState::Draining);
     draining.coldRemaining = 700ms;
     return { .routes = routeTable(7),
-        .targets = { { .record = targetRecord(5), .version = StoreVersion(41) },
-            { .record = draining, .version = StoreVersion(42) } },
+        .targets = { { .record = targetRecord(5), .version = StoreVersion(41), .readVersion = StoreVersion(41) },
+            { .record = draining,
+                .version = StoreVersion(42),
+                .readVersion = StoreVersion(47),
+                .presence = TargetPresence::Missing } },
+        .complete = false,
         .targetsVersion = StoreVersion(50),
         .targetsAge = 1200ms };
 }
@@ -31,6 +35,7 @@
     const ViewSnapshot& view = valueOf(decoded);
     CHECK(view.targetsVersion == StoreVersion(50));
     CHECK(view.targetsAge == 1200ms);
+    CHECK_FALSE(view.complete);
     CHECK(view.routes->version() == ConfigVersion(7));
     CHECK(view.routes->idleTimeout() == 15s);
     REQUIRE(view.routes->find(photoAddress) != nullptr);
@@ -39,6 +44,8 @@
     const TargetRecord& draining = view.targets[1].record;
     const TargetRecord expected = targetRecord(8, photoService, "lima-b");
     CHECK(view.targets[1].version == StoreVersion(42));
+    CHECK(view.targets[1].readVersion == StoreVersion(47));
+    CHECK(view.targets[1].presence == TargetPresence::Missing);
     CHECK(draining.name == expected.name);
     CHECK(tokenOf(draining.key) == tokenOfTarget(8));
     CHECK(draining.startedMs == expected.startedMs);
@@ -49,6 +56,16 @@
     CHECK(draining.coldRemaining == 700ms);
 }
 
+TEST_CASE("A view without routes is unchanged by encoding and decoding")
+{
+    ViewSnapshot sample = sampleView();
+    sample.routes = nullptr;
+    const auto decoded = decodeView(encodeView(sample));
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded).routes == nullptr);
+    CHECK(valueOf(decoded).targets.size() == 2);
+}
+
 // Guards against a partially applied view from a peer of another release, or from a server that is not a peer.
 TEST_CASE("decodeView rejects a view with a missing or invalid field")
 {
@@ -75,7 +92,7 @@
         CHECK_FALSE(isOk(decodeView(without.dump())));
     }
     auto newer = whole;
-    newer["format"] = 2;
+    newer["format"] = 3;
     CHECK_FALSE(isOk(decodeView(newer.dump())));
     for (const char* text : { "", "{", "[]", "null", "7" })
         CHECK_FALSE(isOk(decodeView(text)));
@@ -89,6 +106,7 @@
         std::string changed = text;
         changed[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
         const auto decoded = decodeView(changed);
+        // No single byte turns the routes into null.
         if (isOk(decoded))
             RC_ASSERT(valueOf(decoded).routes != nullptr);
     }));
--- a/tests/edge/EdgeSettingsTest.cpp
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -58,6 +58,17 @@
     CHECK(settings.stopDeadline == 2500ms);
 }
 
+TEST_CASE("parseEdgeSettings reads the address for heartbeats, which needs one for views")
+{
+    const auto result = parseEdgeSettings(
+        replaced("[store]", "peers = \"10.1.0.10:8166\"\nheartbeats = \"10.1.0.10:7720\"\n[store]"), "edge.toml");
+    REQUIRE(std::holds_alternative<EdgeSettings>(result));
+    REQUIRE(std::get<EdgeSettings>(result).heartbeatAddress);
+    CHECK(std::get<EdgeSettings>(result).heartbeatAddress->toString() == "10.1.0.10:7720");
+    CHECK(findingsOf(replaced("[store]", "heartbeats = \"10.1.0.10:7720\"\n[store]")).all().size() == 1);
+    CHECK(findingsOf(replaced("[store]", "peers = \"10.1.0.10:8166\"\nheartbeats = \"?\"\n[store]")).all().size() == 1);
+}
+
 TEST_CASE("parseEdgeSettings reads the addresses of peers")
 {
     const std::string text = replaced(
@@ -69,6 +80,7 @@
     CHECK(settings.peerAddress->toString() == "10.1.0.10:8166");
     REQUIRE(settings.peers.size() == 2);
     CHECK(settings.peers[1].toString() == "10.3.0.7:8166");
+    CHECK_FALSE(settings.heartbeatAddress);
     CHECK(findingsOf(replaced("[store]", "[peers]\nseeds = [\"10.2.0.40\", 7]\n[store]")).all().size() == 2);
     CHECK(findingsOf(replaced("[store]", "[peers]\nseeds = \"10.2.0.40:1\"\n[store]")).all().size() == 1);
 }
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -23,13 +23,22 @@
     return { .name = "main", .version = StoreVersion(version), .content = routeTable(version), .error = {} };
 }
 
+Member member(std::uint64_t startedMs)
+{
+    return { .id = BalancerId("front-" + std::to_string(startedMs)),
+        .dataCentre = DataCentreId("lima-a"),
+        .viewAddress = { .address = { 0x0a000000U + static_cast<std::uint32_t>(startedMs) }, .port = 8166 },
+        .startedMs = startedMs };
+}
+
 struct Fixture {
     PlacementHarness scene;
     RecordedLines lines;
     EventLog log { EventLogOptions {}, lines, scene.clock };
     FlowTracker flows { FlowTrackerOptions {}, scene.targets };
     TokenRouter router { TokenRouterOptions {}, scene.targets, flows, scene.chooser };
-    RoutingView view { scene.targets, router, log, scene.clock };
+    MemberList members { MemberListOptions {}, member(9) };
+    RoutingView view { { .maxRelayAge = 4s, .relayMargin = 1s }, scene.targets, router, members, log, scene.clock };
 
     void answerTargets(std::uint64_t version, const std::vector<StoreEntry>& entries)
     {
@@ -171,3 +180,138 @@
     fixture.view.routeObserver().onFailure({ .code = ErrorCode::Unavailable, .message = "down" });
     CHECK(fixture.view.needsPeerView());
 }
+
+namespace {
+
+ViewStatus relayStatus(std::uint64_t targets, std::uint64_t config, Duration age)
+{
+    return { .targets = StoreVersion(targets),
+        .config = ConfigVersion(config),
+        .targetsAge = age,
+        .currentTargetsAge = age,
+        .routesAge = age };
+}
+
+// A balancer whose data centre has relays and that has a view from one of them.
+struct FollowerFixture : Fixture {
+    FollowerFixture()
+    {
+        for (std::uint64_t number = 1; number <= 8; ++number)
+            members.handle({ .sender = member(number), .hasView = true }, scene.clock.now());
+        members.setOwnState(true, false);
+        view.onPeerView(peerView(20, 3, { 1, 2 }), peer);
+    }
+};
+
+} // namespace
+
+// Guards against old news without a bound: a relay may be frozen, cut off from the store or behind it.
+TEST_CASE("A follower reads the store itself once no relay has confirmed its view for the permitted time")
+{
+    FollowerFixture fixture;
+    StoreFeedObserver& targets = fixture.view.targetObserver();
+    CHECK(targets.untilNeeded() <= Duration::zero());
+    fixture.view.onRelayConfirmation(relayStatus(20, 3, 1s), fixture.scene.clock.now());
+    CHECK(targets.untilNeeded() == 3s);
+    CHECK_FALSE(fixture.view.needsPeerView());
+
+    SECTION("a frozen relay sends nothing")
+    {
+        fixture.scene.clock.advance(3s);
+        CHECK(targets.untilNeeded() <= Duration::zero());
+        CHECK(fixture.view.needsPeerView());
+    }
+    SECTION("a relay that the store does not answer sends growing ages")
+    {
+        for (int second = 1; second <= 3; ++second) {
+            fixture.scene.clock.advance(1s);
+            fixture.view.onRelayConfirmation(
+                relayStatus(20, 3, 1s + std::chrono::seconds(second)), fixture.scene.clock.now());
+        }
+        CHECK(targets.untilNeeded() <= Duration::zero());
+    }
+    SECTION("a relay hears of targets but not of routes")
+    {
+        ViewStatus status = relayStatus(20, 3, 0s);
+        status.routesAge = 5s;
+        fixture.scene.clock.advance(3s);
+        fixture.view.onRelayConfirmation(status, fixture.scene.clock.now());
+        CHECK(fixture.view.routeObserver().untilNeeded() <= Duration::zero());
+    }
+    SECTION("an earlier status that arrives late does not make the view younger")
+    {
+        fixture.scene.clock.advance(2s);
+        fixture.view.onRelayConfirmation(relayStatus(20, 3, 4s), fixture.scene.clock.now());
+        CHECK(targets.untilNeeded() == 1s);
+    }
+}
+
+TEST_CASE("A relay reads the store with short watches whatever other relays confirm")
+{
+    FollowerFixture fixture;
+    fixture.view.onRelayConfirmation(relayStatus(20, 3, 0s), fixture.scene.clock.now());
+    for (std::uint64_t number = 1; number <= 7; ++number) {
+        MemberMessage leaving { .sender = member(number), .leaving = true };
+        fixture.members.handle(leaving, fixture.scene.clock.now());
+    }
+    MemberMessage hub { .sender = member(8), .hasView = true };
+    hub.memberCount = 40;
+    fixture.members.handle(hub, fixture.scene.clock.now());
+    REQUIRE(fixture.members.hasFollowers());
+    CHECK(fixture.view.targetObserver().untilNeeded() <= Duration::zero());
+    CHECK(fixture.view.targetObserver().maxWatchWait() == 3s);
+}
+
+// Guards against a missed change when a follower takes over: its own last watch may have failed long ago.
+TEST_CASE("A follower continues from the relays' version, unless a call has failed since")
+{
+    FollowerFixture fixture;
+    fixture.view.onRelayConfirmation(relayStatus(25, 3, 0s), fixture.scene.clock.now());
+    CHECK(fixture.view.targetObserver().passedOnVersion() == StoreVersion(25));
+    fixture.view.targetObserver().onFailure({ .code = ErrorCode::Unavailable, .message = "down" });
+    CHECK(fixture.view.targetObserver().passedOnVersion() == StoreVersion());
+}
+
+// Guards against flows to a terminated target that wait for their timeout at a balancer that has just restarted.
+TEST_CASE("A view passes on targets that have terminated recently, and only changes to a peer that has the rest")
+{
+    Fixture relay;
+    relay.answerTargets(30, { targetEntry(1, 25), targetEntry(2, 29), targetEntry(3, 28) });
+    relay.answerRoutes(8);
+    StoreEntry removal = targetEntry(2, 29);
+    removal.removed = true;
+    relay.view.targetObserver().onResponse(StoreVersion(34), ReadFreshness::Current);
+    relay.view.targetObserver().onChanges({ removal }, StoreVersion(34));
+
+    const ViewSnapshot changes = relay.view.snapshot({ .targets = StoreVersion(30), .config = ConfigVersion(8) });
+    CHECK_FALSE(changes.complete);
+    CHECK(changes.routes == nullptr);
+    REQUIRE(changes.targets.size() == 1);
+    CHECK(changes.targets[0].presence == TargetPresence::Gone);
+
+    Fixture restarted;
+    restarted.view.onPeerView(relay.view.snapshot(), peer);
+    REQUIRE(restarted.view.isComplete());
+    const PacketFields fields { .key = flowKey(1), .token = tokenOfTarget(2), .payloadBytes = 10 };
+    CHECK(
+        std::holds_alternative<ResetFlow>(restarted.router.route(PacketView({}, fields), restarted.scene.clock.now())));
+}
+
+// Guards against a reset of a live flow: only a relay's current read shows that an unknown token has no target.
+TEST_CASE("A follower resolves an unknown token by a current read of a relay")
+{
+    FollowerFixture fixture;
+    fixture.view.onRelayConfirmation(relayStatus(25, 3, 0s), fixture.scene.clock.now());
+    const PacketFields fields { .key = flowKey(1), .token = FlowToken(77), .payloadBytes = 10 };
+    const auto send = [&] { return fixture.router.route(PacketView({}, fields), fixture.scene.clock.now()); };
+    CHECK(std::holds_alternative<DropPacket>(send()));
+    CHECK(fixture.view.needsCurrentTargets());
+    fixture.scene.clock.advance(3s);
+    ViewStatus stale = relayStatus(25, 3, 0s);
+    stale.currentTargetsAge = 10s;
+    fixture.view.onRelayConfirmation(stale, fixture.scene.clock.now());
+    CHECK(std::holds_alternative<DropPacket>(send()));
+    fixture.view.onRelayConfirmation(relayStatus(26, 3, 0s), fixture.scene.clock.now());
+    CHECK(std::holds_alternative<ResetFlow>(send()));
+    CHECK_FALSE(fixture.view.needsCurrentTargets());
+}
--- a/tests/fakes/PlacementHarness.h
+++ b/tests/fakes/PlacementHarness.h
@@ -57,7 +57,9 @@
     void put(const TargetRecord& record) { targets.put(record, StoreVersion(++version), clock.now()); }
     void remove(std::uint64_t number)
     {
-        targets.remove({ { .name = targetRecord(number).name, .version = StoreVersion(++version) } }, clock.now());
+        ++version;
+        targets.remove({ { .name = targetRecord(number).name, .version = StoreVersion(version) } },
+            StoreVersion(version), clock.now());
     }
 
     Decision send(const PacketFields& fields) { return router.route(PacketView({}, fields), clock.now()); }
--- a/tests/placement/TargetCatalogueTest.cpp
+++ b/tests/placement/TargetCatalogueTest.cpp
@@ -20,7 +20,8 @@
     }
     void remove(std::uint64_t number, std::uint64_t version)
     {
-        targets.remove({ { .name = targetRecord(number).name, .version = StoreVersion(version) } }, clock.now());
+        targets.remove({ { .name = targetRecord(number).name, .version = StoreVersion(version) } },
+            StoreVersion(version), clock.now());
     }
     // Advances the clock; the store answers at the end of that time.
     void answerAfter(Duration time)
@@ -66,7 +67,7 @@
         fixture.put(number, number);
         expired.push_back({ .name = targetRecord(number).name, .version = StoreVersion(number) });
     }
-    fixture.targets.remove(expired, fixture.clock.now());
+    fixture.targets.remove(expired, StoreVersion(), fixture.clock.now());
     CHECK(fixture.presence(1) == TargetPresence::Missing);
     CHECK(fixture.targets.targetsOf(boardService).size() == 14);
     fixture.put(1, 20);
@@ -202,3 +203,49 @@
     for (std::uint64_t key = 0; key < 1000; ++key)
         CHECK(tokenOf(TargetKey(key)) != FlowToken());
 }
+
+// Guards against a change that a peer with an older view never hears of. The removal of an entry carries the version of
+// its last content, which the peer has already.
+TEST_CASE("The changes since a version include removals")
+{
+    Fixture fixture;
+    fixture.targets.put(targetRecord(1), StoreVersion(5), fixture.clock.now());
+    fixture.targets.put(targetRecord(2), StoreVersion(6), fixture.clock.now());
+    fixture.targets.put(targetRecord(3), StoreVersion(7), fixture.clock.now());
+    fixture.targets.remove({ { .name = "i-1", .version = StoreVersion(5) } }, StoreVersion(9), fixture.clock.now());
+    const TargetChanges changes = fixture.targets.changesSince(StoreVersion(7), fixture.clock.now());
+    CHECK_FALSE(changes.complete);
+    REQUIRE(changes.targets.size() == 1);
+    CHECK(changes.targets[0].record.name == "i-1");
+    CHECK(changes.targets[0].presence == TargetPresence::Gone);
+    CHECK(fixture.targets.lastChange() == StoreVersion(9));
+    CHECK(fixture.targets.changesSince(StoreVersion(9), fixture.clock.now()).targets.empty());
+    CHECK(fixture.targets.changesSince(StoreVersion(), fixture.clock.now()).targets.size() == 3);
+
+    // Once the terminated target has been discarded, the removal can only be told by a complete list.
+    fixture.clock.advance(80s);
+    fixture.targets.expire(fixture.clock.now());
+    CHECK(fixture.targets.changesSince(StoreVersion(7), fixture.clock.now()).complete);
+    CHECK_FALSE(fixture.targets.changesSince(StoreVersion(9), fixture.clock.now()).complete);
+}
+
+// Guards against a target that is used again, or ended, because of a peer that is behind.
+TEST_CASE("A state that another balancer has read is adopted only if it is newer")
+{
+    Fixture fixture;
+    const auto adopt = [&](std::uint64_t version, TargetPresence presence) {
+        fixture.targets.adopt({ .record = targetRecord(1),
+                                  .version = StoreVersion(version),
+                                  .readVersion = StoreVersion(version + 1),
+                                  .presence = presence },
+            fixture.clock.now());
+        return fixture.targets.find(tokenOfTarget(1))->presence;
+    };
+    CHECK(adopt(5, TargetPresence::Listed) == TargetPresence::Listed);
+    CHECK(adopt(4, TargetPresence::Gone) == TargetPresence::Listed);
+    CHECK(adopt(5, TargetPresence::Missing) == TargetPresence::Missing);
+    CHECK(adopt(5, TargetPresence::Gone) == TargetPresence::Gone);
+    CHECK(adopt(5, TargetPresence::Listed) == TargetPresence::Gone);
+    CHECK(adopt(5, TargetPresence::Missing) == TargetPresence::Gone);
+    CHECK(adopt(6, TargetPresence::Listed) == TargetPresence::Listed);
+}
--- a/tests/platform/ObjectApiReaderTest.cpp
+++ b/tests/platform/ObjectApiReaderTest.cpp
@@ -56,13 +56,14 @@
 {
     Fixture fixture({ httpResponse("200 OK", R"({"items":[)" + targetText + R"(],"more":true,"as_of":8})"),
         httpResponse("200 OK", R"({"items":[],"more":false,"as_of":9})") });
-    const auto page = complete(fixture.context, fixture.reader.list(""));
+    const auto page = complete(fixture.context, fixture.reader.list("", ReadFreshness::Current));
     REQUIRE(isOk(page));
     CHECK(valueOf(page).entries.size() == 1);
     CHECK(valueOf(page).more);
     CHECK(valueOf(page).version == StoreVersion(8));
-    complete(fixture.context, fixture.reader.list("i-1a"));
+    complete(fixture.context, fixture.reader.list("i-1a", ReadFreshness::MayBeStale));
     CHECK(fixture.server.requests().at(0).find("GET /api/objects/servers HTTP/1.1") == 0);
+    CHECK(fixture.server.requests().at(1).find("GET /api/objects/servers?stale_ok=1&after=i-1a HTTP/1.1") == 0);
 }
 
 TEST_CASE("ObjectApiReader reads changes, including deletions")
@@ -85,7 +86,8 @@
         == ErrorCode::Gone);
     for (const char* status : { "429 Too Many Requests", "503 Service Unavailable", "404 Not Found" }) {
         Fixture refused({ httpResponse(status, "{}") });
-        CHECK(errorOf(complete(refused.context, refused.reader.list(""))).code == ErrorCode::Unavailable);
+        CHECK(errorOf(complete(refused.context, refused.reader.list("", ReadFreshness::Current))).code
+            == ErrorCode::Unavailable);
     }
 }
 
@@ -95,10 +97,10 @@
     for (const char* body : { "", "{", "[]", "{}", R"({"items":3,"more":false,"as_of":1})",
              R"({"items":[],"more":"no","as_of":1})", R"({"items":[],"more":false,"as_of":"x"})" }) {
         Fixture fixture({ httpResponse("200 OK", body) });
-        CHECK_FALSE(isOk(complete(fixture.context, fixture.reader.list(""))));
+        CHECK_FALSE(isOk(complete(fixture.context, fixture.reader.list("", ReadFreshness::Current))));
     }
     Fixture cut({ "" });
-    CHECK_FALSE(isOk(complete(cut.context, cut.reader.list(""))));
+    CHECK_FALSE(isOk(complete(cut.context, cut.reader.list("", ReadFreshness::Current))));
 }
 
 // Guards against a watch that waits forever on a dead connection.
