edge: one current read of targets decides for all that wait for it

Cause: while a target was missing or a token unknown, each watch of targets was a current one, and a watch ends at each change. New targets are unknown tokens for a moment at every balancer, so most watches during a release were current. Change: reads stay stale until the end of the grace period; then one current read decides for all missing targets and unknown tokens of a balancer and of its followers. Tokens that have become known need none. A balancer that has just read the store waits a second for its relays before it watches.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -71,6 +71,8 @@
     // Time to find a relay and read its view once one has been found.
     constexpr std::chrono::milliseconds relayReadTime { 300 };
     constexpr std::chrono::milliseconds relayCheckInterval { 5 };
+    // Time in which balancers that start together learn of each other.
+    constexpr std::chrono::milliseconds relayStartupTime { 1000 };
     // How long an encoded view may be sent again; the age it states is too low by at most this time.
     constexpr std::chrono::milliseconds encodedViewLifetime { 200 };
 
@@ -78,7 +80,8 @@
     RoutingViewOptions viewOptions(const EdgeSettings& settings)
     {
         return { .maxRelayAge = std::max(settings.configBound - configMargin, settings.configBound / 2),
-            .relayMargin = std::min(configMargin / 2, settings.configBound / 4) };
+            .relayMargin = std::min(configMargin / 2, settings.configBound / 4),
+            .startupTime = settings.heartbeatAddress ? relayStartupTime : std::chrono::milliseconds::zero() };
     }
 
     Member ownMember(const EdgeSettings& settings)
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -12,6 +12,7 @@
     , m_members(members)
     , m_log(log)
     , m_clock(clock)
+    , m_startedAt(clock.now())
     , m_targetObserver(*this, "targets")
     , m_routeObserver(*this, "routes")
 {
@@ -55,11 +56,6 @@
     FeedObserver::onFailure(error);
 }
 
-bool RoutingView::TargetObserver::expectsChanges() const
-{
-    return m_view.needsCurrentTargets() || m_view.m_members.anyNeedsCurrentTargets();
-}
-
 void RoutingView::TargetObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
 {
     const MonotonicTime now = m_view.m_clock.now();
@@ -204,7 +200,40 @@
 
 Duration RoutingView::untilStoreNeeded() const
 {
-    return m_members.isRelay() ? Duration::zero() : relayConfirmationRemaining();
+    const MonotonicTime now = m_clock.now();
+    if (!isComplete())
+        return Duration::zero();
+    // A read of this balancer itself counts like a confirmation by a relay.
+    const Duration remaining
+        = std::min(m_targetObserver.answeredAt, m_routeObserver.answeredAt) + m_options.maxRelayAge - now;
+    return m_members.isRelay() ? std::min(remaining, m_startedAt + m_options.startupTime - now) : remaining;
+}
+
+bool RoutingView::needsCurrentTargets() const
+{
+    const auto due = currentTargetsDue();
+    return due && *due <= m_clock.now();
+}
+
+std::optional<MonotonicTime> RoutingView::currentTargetsDue() const
+{
+    const auto targetsDue = m_targets.currentAnswerDue();
+    const auto tokensDue = m_router.currentAnswerDue();
+    if (targetsDue && tokensDue)
+        return std::min(*targetsDue, *tokensDue);
+    return targetsDue ? targetsDue : tokensDue;
+}
+
+std::optional<Duration> RoutingView::untilCurrentTargetsRead() const
+{
+    auto due = currentTargetsDue();
+    if (m_members.anyNeedsCurrentTargets()) {
+        const MonotonicTime next = m_currentTargetsAt + m_options.currentReadInterval;
+        due = std::min(due.value_or(next), next);
+    }
+    if (!due)
+        return std::nullopt;
+    return *due - m_clock.now();
 }
 
 std::chrono::milliseconds RoutingView::maxWatchWait() const
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace anvilwalk {
@@ -18,6 +19,10 @@
     std::chrono::milliseconds maxRelayAge { 2000 };
     // Part of that time which remains for a relay's answer to arrive after its longest watch.
     std::chrono::milliseconds relayMargin { 1000 };
+    // Time after the start in which a balancer that has read the store waits for the relays of its data centre.
+    std::chrono::milliseconds startupTime { 0 };
+    // Least time between reads that are not stale for the decisions of followers.
+    std::chrono::milliseconds currentReadInterval { 1000 };
 };
 
 // The balancer's view of targets and routes. Applies the changes that the store or a relay reports to the target
@@ -40,8 +45,8 @@
     ViewStatus status() const;
     // Whether a relay has confirmed this view recently enough.
     bool isConfirmedByRelay() const { return relayConfirmationRemaining() > Duration::zero(); }
-    // Whether a read of targets that is not stale is needed to decide about missing targets or unknown tokens.
-    bool needsCurrentTargets() const { return m_targets.hasMissing() || m_router.hasUnresolvedTokens(); }
+    // Whether a decision about a missing target or an unknown token now waits for a read of targets that is not stale.
+    bool needsCurrentTargets() const;
     // Recomputes what depends on the age of the view.
     void refresh() { updateFreshness(); }
     std::uint64_t peerViewsApplied() const { return m_peerViewsApplied; }
@@ -86,7 +91,7 @@
     public:
         using FeedObserver::FeedObserver;
         void onResponse(StoreVersion, ReadFreshness) override;
-        bool expectsChanges() const override;
+        std::optional<Duration> untilCurrentRead() const override { return m_view.untilCurrentTargetsRead(); }
         StoreVersion passedOnVersion() const override { return passedOn; }
         void onFailure(const Error&) override;
         void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) override;
@@ -113,6 +118,8 @@
     // Time for which relays make reads of the store unnecessary.
     Duration untilStoreNeeded() const;
     std::chrono::milliseconds maxWatchWait() const;
+    std::optional<MonotonicTime> currentTargetsDue() const;
+    std::optional<Duration> untilCurrentTargetsRead() const;
 
     RoutingViewOptions m_options;
     TargetCatalogue& m_targets;
@@ -120,6 +127,7 @@
     const MemberList& m_members;
     EventLog& m_log;
     const Clock& m_clock;
+    MonotonicTime m_startedAt;
     TargetObserver m_targetObserver;
     RouteObserver m_routeObserver;
     // A full list of targets has been read, from the store or a peer.
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <pcg_random.hpp>
 #include <string>
 #include <vector>
@@ -27,9 +28,8 @@
     // The store responded to a call; the version is that of the response. Called before the entries of the response are
     // delivered.
     virtual void onResponse(StoreVersion, ReadFreshness) = 0;
-    // Whether missing entries are about to reappear or expire, so that the next watch must be short and must not be
-    // answered from a stale replica.
-    virtual bool expectsChanges() const { return false; }
+    // Time until a decision needs a read that is not stale; nullopt if none does.
+    virtual std::optional<Duration> untilCurrentRead() const { return std::nullopt; }
     // Time for which the store need not be read, because other balancers pass its changes on.
     virtual Duration untilNeeded() const { return Duration::zero(); }
     // Version up to which other balancers have passed on all changes since the last failed call; 0 if unknown.
@@ -43,13 +43,13 @@
 struct StoreFeedOptions {
     // Maximum wait of one watch. Also bounds the time until a dead connection is detected.
     std::chrono::milliseconds watchWait { 5000 };
-    // The same while changes are expected; slightly longer than the time after which missing targets expire.
-    std::chrono::milliseconds shortWatchWait { 2600 };
-    // Whether lists, and watches while no changes are expected, may be answered from a stale replica. A stale list is
-    // brought up to date with one current read before it is delivered.
+    // Whether lists and watches may be answered from a stale replica. A stale list is brought up to date with one current
+    // read before it is delivered.
     bool allowStale = false;
     // Delay after a watch that returned changes, so that changes in quick succession are fetched with one call.
     std::chrono::milliseconds changeDelay { 500 };
+    // After a longer pause the store may have discarded the changes since the last watch.
+    std::chrono::milliseconds maxPause { 2000 };
     // Delay after the first failed call; doubles with each further failure up to the maximum.
     std::chrono::milliseconds retryDelay { 100 };
     std::chrono::milliseconds maxRetryDelay { 1000 };
@@ -86,9 +86,11 @@
     boost::asio::awaitable<bool> fetchPages(ReadFreshness);
     // Reads the changes since a stale list without waiting for new ones.
     boost::asio::awaitable<bool> fetchChangesSinceList();
+    std::chrono::milliseconds longestWait() const;
     void deliverListing();
     void applyChanges(const StoreChanges&, ReadFreshness);
     boost::asio::awaitable<bool> fetchChanges();
+    boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait, ReadFreshness);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     void handleSuccess(StoreVersion, ReadFreshness);
     void handleFailure(const Error&);
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -54,21 +54,19 @@
 
 asio::awaitable<void> StoreFeed::waitUntilNeeded()
 {
-    bool paused = false;
+    const auto start = asio::steady_timer::clock_type::now();
     for (;;) {
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(m_observer.untilNeeded());
         if (wait <= std::chrono::milliseconds::zero())
             break;
-        paused = true;
         co_await sleepFor(wait);
     }
-    if (paused)
+    if (asio::steady_timer::clock_type::now() - start >= m_options.maxPause)
         resumeAfterPause();
 }
 
 void StoreFeed::resumeAfterPause()
 {
-    // The store may have discarded the changes since this balancer's own last watch.
     m_hasSnapshot = false;
     m_listing = {};
     if (m_observer.passedOnVersion() == StoreVersion())
@@ -138,11 +136,24 @@
 
 asio::awaitable<bool> StoreFeed::fetchChanges()
 {
-    const bool changesExpected = m_observer.expectsChanges();
-    const auto longest = std::min(m_options.watchWait, m_observer.maxWatchWait());
-    const auto wait = changesExpected ? std::min(longest, m_options.shortWatchWait) : longest;
-    const auto freshness
-        = m_options.allowStale && !changesExpected ? ReadFreshness::MayBeStale : ReadFreshness::Current;
+    if (!m_options.allowStale)
+        co_return co_await watch(longestWait(), ReadFreshness::Current);
+    const auto untilCurrentRead = m_observer.untilCurrentRead();
+    if (untilCurrentRead && *untilCurrentRead <= Duration::zero())
+        co_return co_await watch(immediateWait, ReadFreshness::Current);
+    auto wait = longestWait();
+    if (untilCurrentRead)
+        wait = std::min(wait, std::chrono::ceil<std::chrono::milliseconds>(*untilCurrentRead));
+    co_return co_await watch(wait, ReadFreshness::MayBeStale);
+}
+
+std::chrono::milliseconds StoreFeed::longestWait() const
+{
+    return std::min(m_options.watchWait, m_observer.maxWatchWait());
+}
+
+asio::awaitable<bool> StoreFeed::watch(std::chrono::milliseconds wait, ReadFreshness freshness)
+{
     auto result = co_await m_reader.watch(m_version, wait, freshness);
     if (!isOk(result)) {
         // The store may have committed changes that this watch did not report, and discarded their history since; only
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -114,8 +115,9 @@
     }
     // Records that the store answered a query for targets with current data.
     void recordStoreAnswer(MonotonicTime now) { m_lastAnswer = now; }
-    // Returns whether any target is missing, in which case a fresh answer of the store is needed to resolve it.
-    bool hasMissing() const;
+    // Returns the earliest time at which a current answer of the store decides whether a missing target has terminated;
+    // nullopt if no decision is pending.
+    std::optional<MonotonicTime> currentAnswerDue() const;
     // Marks missing targets as gone once their grace period has passed and the store has answered after it. Discards
     // gone targets after their retention.
     void expire(MonotonicTime now);
@@ -131,6 +133,7 @@
     std::size_t size() const { return m_byName.size(); }
 
 private:
+    MonotonicTime graceEndOf(const Target&) const;
     bool isGracePeriodOver(const Target&, MonotonicTime now) const;
     bool mayHaveExpired(std::size_t removed, MonotonicTime now) const;
     void markAbsent(Target&, TargetPresence, MonotonicTime now);
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <array>
 #include <cstdint>
+#include <optional>
 
 namespace anvilwalk {
 
@@ -43,8 +44,9 @@
 
     // Records that the store answered a query for targets with current data.
     void recordStoreAnswer(MonotonicTime now) { m_lastAnswer = now; }
-    // Returns whether packets with unknown tokens have arrived that need a fresh answer of the store to be resolved.
-    bool hasUnresolvedTokens() const;
+    // Returns the earliest time at which a current answer of the store decides whether an unknown token belongs to a
+    // terminated target; nullopt if no decision is pending.
+    std::optional<MonotonicTime> currentAnswerDue() const;
 
     Decision route(const PacketView&, MonotonicTime now) override;
     void expire(MonotonicTime now);
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -118,18 +118,32 @@
     m_observer.onAbsent(target);
 }
 
-bool TargetCatalogue::hasMissing() const
+std::optional<MonotonicTime> TargetCatalogue::currentAnswerDue() const
 {
-    return std::any_of(m_byName.begin(), m_byName.end(),
-        [](const auto& entry) { return entry.second->presence == TargetPresence::Missing; });
+    std::optional<MonotonicTime> due;
+    for (const auto& [name, target] : m_byName) {
+        if (target->presence != TargetPresence::Missing)
+            continue;
+        const MonotonicTime graceEnd = graceEndOf(*target);
+        // An answer after the grace period takes effect at the next expiry pass.
+        if (m_lastAnswer < graceEnd)
+            due = std::min(due.value_or(graceEnd), graceEnd);
+    }
+    return due;
 }
 
-bool TargetCatalogue::isGracePeriodOver(const Target& target, MonotonicTime now) const
+MonotonicTime TargetCatalogue::graceEndOf(const Target& target) const
 {
-    // A running target cannot renew its entry during a store outage. Only an answer after the grace period shows that
-    // the store was available in the meantime.
+    // A running target cannot renew its entry during a store outage.
     const MonotonicTime start = m_hadOutage ? std::max(target.absentSince, m_lastOutage) : target.absentSince;
-    return now - start >= m_options.missingGracePeriod && m_lastAnswer - start >= m_options.missingGracePeriod;
+    return start + m_options.missingGracePeriod;
+}
+
+bool TargetCatalogue::isGracePeriodOver(const Target& target, MonotonicTime now) const
+{
+    // Only an answer after the grace period shows that the store was available in the meantime.
+    const MonotonicTime graceEnd = graceEndOf(target);
+    return now >= graceEnd && m_lastAnswer >= graceEnd;
 }
 
 void TargetCatalogue::expire(MonotonicTime now)
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -114,10 +114,15 @@
     return drop(fields, DropReason::UnknownToken);
 }
 
-bool TokenRouter::hasUnresolvedTokens() const
+std::optional<MonotonicTime> TokenRouter::currentAnswerDue() const
 {
-    return std::any_of(m_unknownSince.begin(), m_unknownSince.end(),
-        [&](const auto& entry) { return !isConfirmedUnknown(entry.second); });
+    std::optional<MonotonicTime> due;
+    for (const auto& [token, firstSeen] : m_unknownSince) {
+        const MonotonicTime graceEnd = firstSeen + m_options.unknownTokenGracePeriod;
+        if (!isConfirmedUnknown(firstSeen))
+            due = std::min(due.value_or(graceEnd), graceEnd);
+    }
+    return due;
 }
 
 Decision TokenRouter::reset(const PacketFields& fields, DropReason reason)
@@ -140,7 +145,10 @@
 {
     // Flows with older entries have already ended by their own timeouts.
     constexpr std::chrono::seconds retention { 60 };
-    absl::erase_if(m_unknownSince, [&](const auto& entry) { return now - entry.second >= retention; });
+    // A token may have become known, because its target was newer than this balancer's view.
+    absl::erase_if(m_unknownSince, [&](const auto& entry) {
+        return now - entry.second >= retention || m_targets.find(entry.first) != nullptr;
+    });
 }
 
 } // namespace anvilwalk
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -77,11 +77,11 @@
     void onReachable() override { ++reachableCount; }
     void onResponse(StoreVersion, ReadFreshness) override { }
     void onFailure(const Error&) override { ++failures; }
-    bool expectsChanges() const override { return changesExpected; }
+    std::optional<Duration> untilCurrentRead() const override { return currentReadIn; }
     Duration untilNeeded() const override
     {
         // Each pause ends when it has been waited for.
-        return pauses-- > 0 ? Duration(1ms) : Duration::zero();
+        return pauses-- > 0 ? pause : Duration::zero();
     }
     StoreVersion passedOnVersion() const override { return passedOn; }
     std::chrono::milliseconds maxWatchWait() const override { return longestWait; }
@@ -90,8 +90,9 @@
     std::vector<std::size_t> changes;
     int reachableCount = 0;
     int failures = 0;
-    bool changesExpected = false;
+    std::optional<Duration> currentReadIn;
     mutable int pauses = 0;
+    Duration pause { 40ms };
     StoreVersion passedOn;
     std::chrono::milliseconds longestWait { std::chrono::hours(1) };
 };
@@ -104,7 +105,11 @@
 
     void run()
     {
-        StoreFeed feed({ .allowStale = allowStale, .changeDelay = 1ms, .retryDelay = 1ms, .maxRetryDelay = 2ms },
+        StoreFeed feed({ .allowStale = allowStale,
+                           .changeDelay = 1ms,
+                           .maxPause = 20ms,
+                           .retryDelay = 1ms,
+                           .maxRetryDelay = 2ms },
             context, reader, observer);
         asio::co_spawn(context, feed.run(), asio::detached);
         context.run_for(5s);
@@ -191,26 +196,21 @@
 }
 
 // Guards against a target that expires, or is kept, because of a stale or late response.
-TEST_CASE("StoreFeed uses short, non-stale watches while changes are expected")
+TEST_CASE("StoreFeed reads current data when a decision needs it, and ends a stale watch by then")
 {
-    Fixture fixture;
-    fixture.allowStale = true;
-    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
-    fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(9) });
-    fixture.run();
-    REQUIRE(fixture.reader.waits.size() == 2);
-    CHECK(fixture.reader.waits[1] == StoreFeedOptions {}.watchWait);
-    CHECK(fixture.reader.freshnesses[1] == ReadFreshness::MayBeStale);
-
-    Fixture expecting;
-    expecting.allowStale = true;
-    expecting.observer.changesExpected = true;
-    expecting.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
-    expecting.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(9) });
-    expecting.run();
-    REQUIRE(expecting.reader.waits.size() == 2);
-    CHECK(expecting.reader.waits[1] == StoreFeedOptions {}.shortWatchWait);
-    CHECK(expecting.reader.freshnesses[1] == ReadFreshness::Current);
+    const auto secondWatch = [](std::optional<Duration> currentReadIn) {
+        Fixture fixture;
+        fixture.allowStale = true;
+        fixture.observer.currentReadIn = currentReadIn;
+        fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(9) });
+        fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(9) });
+        fixture.run();
+        REQUIRE(fixture.reader.waits.size() == 2);
+        return std::pair(fixture.reader.waits[1], fixture.reader.freshnesses[1]);
+    };
+    CHECK(secondWatch(std::nullopt) == std::pair(StoreFeedOptions {}.watchWait, ReadFreshness::MayBeStale));
+    CHECK(secondWatch(1200ms) == std::pair(std::chrono::milliseconds(1200), ReadFreshness::MayBeStale));
+    CHECK(secondWatch(Duration::zero()) == std::pair(std::chrono::milliseconds(1), ReadFreshness::Current));
 }
 
 // Guards against the use of a target that has left: a restarted balancer must not act on a list that is seconds old.
@@ -262,9 +262,11 @@
 }
 
 // Guards against a missed change: the store may have discarded its history during the pause.
-TEST_CASE("StoreFeed lists after a pause if it does not know what other balancers have passed on")
+TEST_CASE("StoreFeed lists after a long pause if it does not know what other balancers have passed on")
 {
     Fixture fixture;
+    const bool isLong = GENERATE(true, false);
+    fixture.observer.pause = isLong ? 40ms : 1ms;
     fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
     fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(50) });
     fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(6) });
@@ -288,10 +290,12 @@
         Fixture& fixture;
     } reader(fixture);
     StoreFeed feed(
-        { .changeDelay = 1ms, .retryDelay = 1ms, .maxRetryDelay = 2ms }, fixture.context, reader, fixture.observer);
+        { .changeDelay = 1ms, .maxPause = 20ms, .retryDelay = 1ms, .maxRetryDelay = 2ms }, fixture.context, reader, fixture.observer);
     asio::co_spawn(fixture.context, feed.run(), asio::detached);
     fixture.context.run_for(5s);
-    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "watch 5", "list ", "watch 50" });
+    const std::vector<std::string> listed { "list ", "watch 5", "list ", "watch 50" };
+    const std::vector<std::string> continued { "list ", "watch 5", "watch 6" };
+    CHECK(fixture.reader.calls == (isLong ? listed : continued));
 }
 
 // Guards against followers that believe a view whose relay has lost its connection to the store unnoticed.
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -129,18 +129,21 @@
     Fixture fixture;
     fixture.answerTargets(30, { targetEntry(1, 25), targetEntry(2, 29) });
     fixture.answerRoutes(8);
-    CHECK_FALSE(fixture.view.targetObserver().expectsChanges());
+    CHECK_FALSE(fixture.view.targetObserver().untilCurrentRead());
     fixture.view.targetObserver().onFailure({ .code = ErrorCode::Unavailable, .message = "down" });
     fixture.answerTargets(31, { targetEntry(1, 25) });
-    CHECK(fixture.view.targetObserver().expectsChanges());
+    // One read at the end of the grace period decides; until then stale reads will do.
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(2500ms));
+    CHECK_FALSE(fixture.view.needsCurrentTargets());
     fixture.scene.clock.advance(5s);
+    CHECK(fixture.view.needsCurrentTargets());
     fixture.view.targetObserver().onResponse(StoreVersion(32), ReadFreshness::MayBeStale);
     fixture.scene.targets.expire(fixture.scene.clock.now());
     CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Missing);
     fixture.view.targetObserver().onResponse(StoreVersion(33), ReadFreshness::Current);
     fixture.scene.targets.expire(fixture.scene.clock.now());
     CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Gone);
-    CHECK_FALSE(fixture.view.targetObserver().expectsChanges());
+    CHECK_FALSE(fixture.view.targetObserver().untilCurrentRead());
 }
 
 // Guards against routes or targets that revert to the older view of a peer.
@@ -305,8 +308,9 @@
     const PacketFields fields { .key = flowKey(1), .token = FlowToken(77), .payloadBytes = 10 };
     const auto send = [&] { return fixture.router.route(PacketView({}, fields), fixture.scene.clock.now()); };
     CHECK(std::holds_alternative<DropPacket>(send()));
-    CHECK(fixture.view.needsCurrentTargets());
+    CHECK_FALSE(fixture.view.needsCurrentTargets());
     fixture.scene.clock.advance(3s);
+    CHECK(fixture.view.needsCurrentTargets());
     ViewStatus stale = relayStatus(25, 3, 0s);
     stale.currentTargetsAge = 10s;
     fixture.view.onRelayConfirmation(stale, fixture.scene.clock.now());
@@ -315,3 +319,37 @@
     CHECK(std::holds_alternative<ResetFlow>(send()));
     CHECK_FALSE(fixture.view.needsCurrentTargets());
 }
+
+// Guards against a current read for each change while followers wait for a decision.
+TEST_CASE("A relay reads current targets once for all followers that need it")
+{
+    Fixture fixture;
+    fixture.answerTargets(30, { targetEntry(1, 25) });
+    fixture.answerRoutes(8);
+    for (std::uint64_t number = 11; number <= 20; ++number)
+        fixture.members.handle({ .sender = member(number), .hasView = true, .needsCurrentTargets = true },
+            fixture.scene.clock.now());
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(1s));
+    fixture.scene.clock.advance(1s);
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration::zero());
+    fixture.view.targetObserver().onResponse(StoreVersion(31), ReadFreshness::Current);
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(1s));
+}
+
+// Guards against two calls of every balancer after a mass start: the relays are known a moment later.
+TEST_CASE("A balancer that has just read the store waits for relays before it watches")
+{
+    PlacementHarness scene;
+    RecordedLines lines;
+    EventLog log { EventLogOptions {}, lines, scene.clock };
+    MemberList members { MemberListOptions {}, member(9) };
+    RoutingView view { { .maxRelayAge = 4s, .startupTime = 1s }, scene.targets, scene.router, members, log, scene.clock };
+    CHECK(view.targetObserver().untilNeeded() == Duration::zero());
+    view.targetObserver().onResponse(StoreVersion(30), ReadFreshness::Current);
+    view.targetObserver().onSnapshot({ targetEntry(1, 25) }, StoreVersion(30));
+    view.routeObserver().onResponse(StoreVersion(30), ReadFreshness::Current);
+    view.routeObserver().onSnapshot({ routesEntry(8) }, StoreVersion(30));
+    CHECK(view.targetObserver().untilNeeded() == 1s);
+    scene.clock.advance(1s);
+    CHECK(view.targetObserver().untilNeeded() <= Duration::zero());
+}
--- a/tests/placement/TargetCatalogueTest.cpp
+++ b/tests/placement/TargetCatalogueTest.cpp
@@ -103,10 +103,11 @@
     fixture.clock.advance(20s);
     fixture.targets.expire(fixture.clock.now());
     CHECK(fixture.presence(3) == TargetPresence::Missing);
-    CHECK(fixture.targets.hasMissing());
+    REQUIRE(fixture.targets.currentAnswerDue());
+    CHECK(*fixture.targets.currentAnswerDue() <= fixture.clock.now());
     fixture.answerAfter(10ms);
     CHECK(fixture.presence(3) == TargetPresence::Gone);
-    CHECK_FALSE(fixture.targets.hasMissing());
+    CHECK_FALSE(fixture.targets.currentAnswerDue());
 }
 
 // Guards against resets of live flows when the store recovers only briefly: targets whose entries expired cannot
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -103,9 +103,9 @@
 {
     PlacementHarness harness;
     harness.put(targetRecord(1));
-    CHECK_FALSE(harness.router.hasUnresolvedTokens());
+    CHECK_FALSE(harness.router.currentAnswerDue());
     CHECK(isDrop(harness.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
-    CHECK(harness.router.hasUnresolvedTokens());
+    CHECK(harness.router.currentAnswerDue() == harness.clock.now() + 2500ms);
     harness.clock.advance(2499ms);
     harness.router.recordStoreAnswer(harness.clock.now());
     CHECK(isDrop(harness.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
@@ -114,11 +114,24 @@
     CHECK(isDrop(harness.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
     harness.router.recordStoreAnswer(harness.clock.now());
     CHECK(isReset(harness.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
-    CHECK_FALSE(harness.router.hasUnresolvedTokens());
+    CHECK_FALSE(harness.router.currentAnswerDue());
     harness.router.setViewCurrent(false);
     CHECK(isDrop(harness.sendData(flowKey(1), FlowToken(99)), DropReason::UnknownToken));
 }
 
+// Guards against reads of the store for a decision that is no longer needed: a new target is unknown for a moment at
+// every balancer that has not heard of it yet.
+TEST_CASE("TokenRouter needs no current answer once a token has become known")
+{
+    PlacementHarness harness;
+    harness.put(targetRecord(1));
+    CHECK(isDrop(harness.sendData(flowKey(1), tokenOfTarget(2)), DropReason::UnknownToken));
+    CHECK(harness.router.currentAnswerDue());
+    harness.put(targetRecord(2));
+    harness.router.expire(harness.clock.now());
+    CHECK_FALSE(harness.router.currentAnswerDue());
+}
+
 TEST_CASE("TokenRouter drops a packet of an open flow without a token")
 {
     PlacementHarness harness;
--- a/tests/soak/SoakNetwork.h
+++ b/tests/soak/SoakNetwork.h
@@ -20,6 +20,7 @@
     Ipv4Endpoint packets(std::size_t balancer) const { return balancerAt(balancer, packetPort); }
     Ipv4Endpoint ready(std::size_t balancer) const { return balancerAt(balancer, readyPort); }
     Ipv4Endpoint peers(std::size_t balancer) const { return balancerAt(balancer, peerPort); }
+    Ipv4Endpoint heartbeats(std::size_t balancer) const { return balancerAt(balancer, heartbeatPort); }
     Ipv4Endpoint metrics(std::size_t balancer) const { return balancerAt(balancer, metricsPort); }
 
     // Clients receive resets at the port at which balancers take packets.
@@ -29,6 +30,7 @@
     static constexpr std::uint16_t readyPort = 7001;
     static constexpr std::uint16_t peerPort = 7002;
     static constexpr std::uint16_t metricsPort = 7003;
+    static constexpr std::uint16_t heartbeatPort = 7004;
     static constexpr std::uint16_t storePort = 7100;
     static constexpr std::uint16_t hostPort = 8080;
     static constexpr std::size_t balancersInSubnet = 250;
