discovery: followers leave a store outage to their relays; new balancers find members sooner

Change: a balancer that has relays repeats failed calls after 0.8 to 4 s instead of 0.1 to 1 s; a balancer that knows no member asks again after 250 ms.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -72,7 +72,7 @@
     constexpr std::chrono::milliseconds relayReadTime { 300 };
     constexpr std::chrono::milliseconds relayCheckInterval { 5 };
     // Time in which balancers that start together learn of each other.
-    constexpr std::chrono::milliseconds relayStartupTime { 1000 };
+    constexpr std::chrono::milliseconds relayStartupTime { 1500 };
     // How long an encoded view may be sent again; the age it states is too low by at most this time.
     constexpr std::chrono::milliseconds encodedViewLifetime { 200 };
 
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -76,6 +76,7 @@
         void onFailure(const Error&) override;
         Duration untilNeeded() const override { return m_view.untilStoreNeeded(); }
         std::chrono::milliseconds maxWatchWait() const override { return m_view.maxWatchWait(); }
+        bool hasRelays() const override { return m_view.isComplete() && !m_view.m_members.isRelay(); }
 
         bool inContact = false;
         // Version and time of the last answer.
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -36,6 +36,8 @@
     virtual StoreVersion passedOnVersion() const { return {}; }
     // Upper limit of a watch's wait, for balancers on which others rely.
     virtual std::chrono::milliseconds maxWatchWait() const { return std::chrono::hours(1); }
+    // Whether other balancers are expected to pass changes on soon, so that failed calls need not be repeated quickly.
+    virtual bool hasRelays() const { return false; }
     // Called for each failed call.
     virtual void onFailure(const Error&) = 0;
 };
@@ -43,8 +45,8 @@
 struct StoreFeedOptions {
     // Maximum wait of one watch. Also bounds the time until a dead connection is detected.
     std::chrono::milliseconds watchWait { 5000 };
-    // Whether lists and watches may be answered from a stale replica. A stale list is brought up to date with one current
-    // read before it is delivered.
+    // Whether lists and watches may be answered from a stale replica. A stale list is brought up to date with one
+    // current read before it is delivered.
     bool allowStale = false;
     // Delay after a watch that returned changes, so that changes in quick succession are fetched with one call.
     std::chrono::milliseconds changeDelay { 500 };
@@ -53,6 +55,10 @@
     // Delay after the first failed call; doubles with each further failure up to the maximum.
     std::chrono::milliseconds retryDelay { 100 };
     std::chrono::milliseconds maxRetryDelay { 1000 };
+    // The same while other balancers are expected to pass changes on. During an outage most balancers then leave the
+    // store to a few.
+    std::chrono::milliseconds relayedRetryDelay { 800 };
+    std::chrono::milliseconds maxRelayedRetryDelay { 4000 };
     std::uint64_t seed = 0;
 };
 
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -199,10 +199,12 @@
 
 std::chrono::milliseconds StoreFeed::nextRetryDelay()
 {
-    const auto maxDelay = static_cast<int>(m_retryDelay.count());
-    m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
+    const bool relayed = m_observer.hasRelays();
+    const auto delay = relayed ? std::max(m_retryDelay, m_options.relayedRetryDelay) : m_retryDelay;
+    m_retryDelay = std::min(delay * 2, relayed ? m_options.maxRelayedRetryDelay : m_options.maxRetryDelay);
     // Jitter keeps balancers that failed at the same time from retrying at the same time.
-    return std::chrono::milliseconds(std::uniform_int_distribution<int>(maxDelay / 2, maxDelay)(m_random));
+    const auto longest = static_cast<int>(delay.count());
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(longest / 2, longest)(m_random));
 }
 
 } // namespace anvilwalk
--- a/packages/membership/include/anvilwalk/membership/Membership.h
+++ b/packages/membership/include/anvilwalk/membership/Membership.h
@@ -37,8 +37,9 @@
     // Address of the UDP socket. All balancers use the same port.
     Ipv4Endpoint address;
     std::chrono::milliseconds heartbeatInterval { 1000 };
-    // Interval of queries to seeds while no other member of the data centre is known.
-    std::chrono::milliseconds aloneQueryInterval { 1000 };
+    // Delay after the first query to seeds while no other member of the data centre is known. Doubles with each further
+    // query up to queryInterval. Short, because seeds that start at the same time may not receive the first query.
+    std::chrono::milliseconds aloneQueryDelay { 250 };
     // Interval of queries of the relays, which keep the seeds' knowledge of each data centre current.
     std::chrono::milliseconds queryInterval { 5000 };
 };
@@ -77,7 +78,10 @@
     void querySeeds();
     MemberMessage makeMessage(MemberMessageKind, const DataCentreId& receiver);
     void sendTo(const std::string& bytes, const Ipv4Address&);
+    bool isAlone() const { return m_members.memberCount() == 1; }
     bool isQueryDue(MonotonicTime now) const;
+    // Time until the next heartbeat or query.
+    std::chrono::milliseconds nextDelay();
     OwnMemberState updateOwnState();
 
     MembershipOptions m_options;
@@ -88,6 +92,7 @@
     MembershipObserver& m_observer;
     const Clock& m_clock;
     MonotonicTime m_lastQuery;
+    std::chrono::milliseconds m_aloneDelay;
     std::optional<MonotonicTime> m_introducedAt;
     MembershipCounters m_counters;
 };
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -1,5 +1,6 @@
 #include <anvilwalk/membership/Membership.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,6 +20,7 @@
     , m_seeds(std::move(seeds))
     , m_observer(observer)
     , m_clock(clock)
+    , m_aloneDelay(options.aloneQueryDelay)
 {
 }
 
@@ -86,7 +88,7 @@
 {
     querySeeds();
     for (;;) {
-        m_timer.expires_after(m_options.heartbeatInterval);
+        m_timer.expires_after(nextDelay());
         co_await m_timer.async_wait(asio::use_awaitable);
         const MonotonicTime now = m_clock.now();
         m_members.expire(now);
@@ -98,9 +100,18 @@
 
 bool Membership::isQueryDue(MonotonicTime now) const
 {
-    if (m_members.memberCount() == 1)
-        return now - m_lastQuery >= m_options.aloneQueryInterval;
-    return m_members.isRelay() && now - m_lastQuery >= m_options.queryInterval;
+    return isAlone() || (m_members.isRelay() && now - m_lastQuery >= m_options.queryInterval);
+}
+
+std::chrono::milliseconds Membership::nextDelay()
+{
+    if (!isAlone()) {
+        m_aloneDelay = m_options.aloneQueryDelay;
+        return m_options.heartbeatInterval;
+    }
+    const auto delay = m_aloneDelay;
+    m_aloneDelay = std::min(m_aloneDelay * 2, m_options.queryInterval);
+    return delay;
 }
 
 OwnMemberState Membership::updateOwnState()
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -85,6 +85,7 @@
     }
     StoreVersion passedOnVersion() const override { return passedOn; }
     std::chrono::milliseconds maxWatchWait() const override { return longestWait; }
+    bool hasRelays() const override { return relays; }
 
     std::vector<std::size_t> snapshots;
     std::vector<std::size_t> changes;
@@ -94,6 +95,7 @@
     mutable int pauses = 0;
     Duration pause { 40ms };
     StoreVersion passedOn;
+    bool relays = false;
     std::chrono::milliseconds longestWait { std::chrono::hours(1) };
 };
 
@@ -105,11 +107,8 @@
 
     void run()
     {
-        StoreFeed feed({ .allowStale = allowStale,
-                           .changeDelay = 1ms,
-                           .maxPause = 20ms,
-                           .retryDelay = 1ms,
-                           .maxRetryDelay = 2ms },
+        StoreFeed feed(
+            { .allowStale = allowStale, .changeDelay = 1ms, .maxPause = 20ms, .retryDelay = 1ms, .maxRetryDelay = 2ms },
             context, reader, observer);
         asio::co_spawn(context, feed.run(), asio::detached);
         context.run_for(5s);
@@ -289,8 +288,8 @@
         }
         Fixture& fixture;
     } reader(fixture);
-    StoreFeed feed(
-        { .changeDelay = 1ms, .maxPause = 20ms, .retryDelay = 1ms, .maxRetryDelay = 2ms }, fixture.context, reader, fixture.observer);
+    StoreFeed feed({ .changeDelay = 1ms, .maxPause = 20ms, .retryDelay = 1ms, .maxRetryDelay = 2ms }, fixture.context,
+        reader, fixture.observer);
     asio::co_spawn(fixture.context, feed.run(), asio::detached);
     fixture.context.run_for(5s);
     const std::vector<std::string> listed { "list ", "watch 5", "list ", "watch 50" };
@@ -308,3 +307,22 @@
     REQUIRE(fixture.reader.waits.size() == 1);
     CHECK(fixture.reader.waits[0] == 700ms);
 }
+
+// Guards against an outage in which every balancer calls the store all the time, although a few would do.
+TEST_CASE("StoreFeed repeats failed calls less often while other balancers are expected to pass changes on")
+{
+    const auto callsDuringOutage = [](bool relays) {
+        Fixture fixture;
+        fixture.observer.relays = relays;
+        fixture.reader.pages.assign(1000, unavailable);
+        StoreFeed feed(
+            { .retryDelay = 1ms, .maxRetryDelay = 10ms, .relayedRetryDelay = 20ms, .maxRelayedRetryDelay = 100ms },
+            fixture.context, fixture.reader, fixture.observer);
+        asio::co_spawn(fixture.context, feed.run(), asio::detached);
+        fixture.context.run_for(500ms);
+        return fixture.reader.calls.size();
+    };
+    // Delays of 10 to 20, 20 to 40, 40 to 80 and then 50 to 100 ms.
+    CHECK(callsDuringOutage(true) <= 13);
+    CHECK(callsDuringOutage(false) >= 40);
+}
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -327,8 +327,8 @@
     fixture.answerTargets(30, { targetEntry(1, 25) });
     fixture.answerRoutes(8);
     for (std::uint64_t number = 11; number <= 20; ++number)
-        fixture.members.handle({ .sender = member(number), .hasView = true, .needsCurrentTargets = true },
-            fixture.scene.clock.now());
+        fixture.members.handle(
+            { .sender = member(number), .hasView = true, .needsCurrentTargets = true }, fixture.scene.clock.now());
     CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(1s));
     fixture.scene.clock.advance(1s);
     CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration::zero());
@@ -343,7 +343,8 @@
     RecordedLines lines;
     EventLog log { EventLogOptions {}, lines, scene.clock };
     MemberList members { MemberListOptions {}, member(9) };
-    RoutingView view { { .maxRelayAge = 4s, .startupTime = 1s }, scene.targets, scene.router, members, log, scene.clock };
+    RoutingView view { { .maxRelayAge = 4s, .startupTime = 1s }, scene.targets, scene.router, members, log,
+        scene.clock };
     CHECK(view.targetObserver().untilNeeded() == Duration::zero());
     view.targetObserver().onResponse(StoreVersion(30), ReadFreshness::Current);
     view.targetObserver().onSnapshot({ targetEntry(1, 25) }, StoreVersion(30));
--- a/tests/soak/BalancerProcess.cpp
+++ b/tests/soak/BalancerProcess.cpp
@@ -48,13 +48,15 @@
     for (const std::size_t seed : m_options.seeds)
         seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ", ", network.peers(seed).toString());
     std::ofstream file(fmt::format("{}/{}.toml", m_options.folder, name()), std::ios::trunc);
-    file << fmt::format("[balancer]\nid = \"{}\"\ndata_centre = \"{}\"\n"
-                        "[listen]\npackets = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\npeers = \"{}\"\nheartbeats = \"{}\"\n"
-                        "[peers]\nseeds = [{}]\n[store]\naddress = \"{}\"\n[limits]\nmemory_mb = 64\n"
-                        "[bounds]\nconfig_in_force_ms = 3000\ncalm_window_ms = 4000\nstop_seconds = 6\n",
+    file << fmt::format(
+        "[balancer]\nid = \"{}\"\ndata_centre = \"{}\"\n"
+        "[listen]\npackets = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\npeers = \"{}\"\nheartbeats = \"{}\"\n"
+        "[peers]\nseeds = [{}]\n[store]\naddress = \"{}\"\n[limits]\nmemory_mb = 64\n"
+        "[bounds]\nconfig_in_force_ms = 3000\ncalm_window_ms = 4000\nstop_seconds = 6\n",
         name(), m_options.dataCentre, network.packets(m_options.number).toString(),
         network.ready(m_options.number).toString(), network.metrics(m_options.number).toString(),
-        network.peers(m_options.number).toString(), network.heartbeats(m_options.number).toString(), seeds, network.storeProxy(m_options.number).toString());
+        network.peers(m_options.number).toString(), network.heartbeats(m_options.number).toString(), seeds,
+        network.storeProxy(m_options.number).toString());
     if (!file.flush())
         throw std::runtime_error("cannot write the settings of " + name() + " in " + m_options.folder);
 }
