discovery: a watch that the store cuts is a failure again

Cause: the retry of requests on connections that were idle, added for reads from peers, also repeated watches that the store had cut when it discarded its history. The repeated watch continued from the old version and never heard of the discarded changes. Change: only reads from peers are repeated; a test for each, the first failed before. With it: a balancer logs its role and each target that a relay reports, and serves both as metrics.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -255,7 +255,7 @@
 void EdgeBalancer::announceView()
 {
     m_members.setOwnState(m_view.isComplete(), m_stopping);
-    if (m_membership && m_members.hasFollowers())
+    if (m_membership && m_members.role() == MemberRole::Relay)
         m_membership->announce();
 }
 
@@ -297,7 +297,9 @@
         .targetsAge = m_view.targetsAge(),
         .routesAge = m_view.routesAge(),
         .logLinesLost = m_logWriter.linesLost(),
-        .peerViewsApplied = m_view.peerViewsApplied() });
+        .peerViewsApplied = m_view.peerViewsApplied(),
+        .members = m_members.memberCount(),
+        .isRelay = m_members.role() == MemberRole::Relay });
 }
 
 asio::awaitable<void> EdgeBalancer::forwardPackets()
--- a/apps/anvilwalk-edge/EdgeMetrics.cpp
+++ b/apps/anvilwalk-edge/EdgeMetrics.cpp
@@ -103,7 +103,9 @@
         gauge("config_version", "Version of the routes in force.", static_cast<double>(sample.configVersion)),
         gauge("targets_age_seconds", "Time since the store's last answer about targets.", toSeconds(sample.targetsAge)),
         gauge("routes_age_seconds", "Time since the store's last answer about routes.", toSeconds(sample.routesAge)),
-        counter("peer_views_total", "Views taken from peers while the store did not answer.", sample.peerViewsApplied),
+        counter("peer_views_total", "Views and changes received from other balancers.", sample.peerViewsApplied),
+        gauge("members", "Balancers of the data centre that this one hears from.", sample.members),
+        gauge("relay", "1 if this balancer passes the store's changes on to others.", sample.isRelay ? 1 : 0),
         counter("log_lines_lost_total", "Log lines that found no room.", sample.logLinesLost),
     };
     return prometheus::TextSerializer().Serialize(families);
--- a/apps/anvilwalk-edge/EdgeMetrics.h
+++ b/apps/anvilwalk-edge/EdgeMetrics.h
@@ -21,6 +21,9 @@
     Duration routesAge { 0 };
     std::uint64_t logLinesLost = 0;
     std::uint64_t peerViewsApplied = 0;
+    // Balancers of the data centre that this one hears from, itself included.
+    std::uint32_t members = 1;
+    bool isRelay = false;
 };
 
 // Renders the metrics in the Prometheus text format (docs/OPERATIONS.md lists them).
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -145,7 +145,7 @@
     if (view.targetsVersion > known.targets)
         applyPeerTargets(view);
     if (view.routes && view.routes->version() > known.config)
-        m_router.setRoutes(view.routes);
+        setRoutes(view.routes);
     ++m_peerViewsApplied;
     notifyIfComplete();
     notifyChange();
@@ -163,6 +163,8 @@
     for (const VersionedTarget& target : view.targets) {
         m_targets.adopt(target, now);
         names.push_back(target.record.name);
+        if (target.presence == TargetPresence::Listed)
+            logTarget(target.record, target.version);
     }
     if (view.complete)
         m_targets.retainOnly(names, view.targetsVersion, now);
@@ -206,7 +208,7 @@
     // A read of this balancer itself counts like a confirmation by a relay.
     const Duration remaining
         = std::min(m_targetObserver.answeredAt, m_routeObserver.answeredAt) + m_options.maxRelayAge - now;
-    return m_members.isRelay() ? std::min(remaining, m_startedAt + m_options.startupTime - now) : remaining;
+    return isFollower() ? remaining : std::min(remaining, m_startedAt + m_options.startupTime - now);
 }
 
 bool RoutingView::needsCurrentTargets() const
@@ -238,7 +240,7 @@
 
 std::chrono::milliseconds RoutingView::maxWatchWait() const
 {
-    if (!m_members.hasFollowers())
+    if (m_members.role() != MemberRole::Relay)
         return std::chrono::hours(1);
     return m_options.maxRelayAge - m_options.relayMargin;
 }
@@ -265,10 +267,15 @@
         return;
     }
     m_targets.put(*record, entry.version, now);
-    m_log.write(EventKind::Target, record->state == TargetState::Ready ? "ready" : "draining",
-        logField("target", std::string_view(record->name)), logField("version", entry.version.value()),
-        logField("token", tokenOf(record->key).value()), logField("service", std::string_view(record->service.value())),
-        logField("cold_ms", record->coldRemaining.count()));
+    logTarget(*record, entry.version);
+}
+
+void RoutingView::logTarget(const TargetRecord& record, StoreVersion version)
+{
+    m_log.write(EventKind::Target, record.state == TargetState::Ready ? "ready" : "draining",
+        logField("target", std::string_view(record.name)), logField("version", version.value()),
+        logField("token", tokenOf(record.key).value()), logField("service", std::string_view(record.service.value())),
+        logField("cold_ms", record.coldRemaining.count()));
 }
 
 void RoutingView::putRoutes(const StoreEntry& entry)
@@ -279,9 +286,13 @@
         return;
     }
     const auto* routes = std::get_if<RouteTablePointer>(&entry.content);
-    if (routes == nullptr)
-        return;
-    m_router.setRoutes(*routes);
+    if (routes != nullptr)
+        setRoutes(*routes);
+}
+
+void RoutingView::setRoutes(const RouteTablePointer& routes)
+{
+    m_router.setRoutes(routes);
     m_log.write(EventKind::Routes, "in_force", logField("config_version", m_router.routes()->version().value()),
         logField("routes", m_router.routes()->routes().size()));
 }
@@ -292,6 +303,16 @@
         std::exchange(m_onComplete, nullptr)();
 }
 
+void RoutingView::refresh()
+{
+    updateFreshness();
+    const MemberRole role = m_members.role();
+    if (std::exchange(m_loggedRole, role) == role)
+        return;
+    m_log.write(
+        EventKind::Store, "role", logField("role", toString(role)), logField("members", m_members.memberCount()));
+}
+
 void RoutingView::updateFreshness()
 {
     m_router.setViewCurrent(m_hasStoreTargets && (m_targetObserver.inContact || isConfirmedByRelay()));
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -47,8 +47,8 @@
     bool isConfirmedByRelay() const { return relayConfirmationRemaining() > Duration::zero(); }
     // Whether a decision about a missing target or an unknown token now waits for a read of targets that is not stale.
     bool needsCurrentTargets() const;
-    // Recomputes what depends on the age of the view.
-    void refresh() { updateFreshness(); }
+    // Recomputes what depends on the age of the view, and logs a change of this balancer's role.
+    void refresh();
     std::uint64_t peerViewsApplied() const { return m_peerViewsApplied; }
 
     bool needsPeerView() const override;
@@ -76,7 +76,7 @@
         void onFailure(const Error&) override;
         Duration untilNeeded() const override { return m_view.untilStoreNeeded(); }
         std::chrono::milliseconds maxWatchWait() const override { return m_view.maxWatchWait(); }
-        bool hasRelays() const override { return m_view.isComplete() && !m_view.m_members.isRelay(); }
+        bool hasRelays() const override { return m_view.isComplete() && m_view.isFollower(); }
 
         bool inContact = false;
         // Version and time of the last answer.
@@ -111,6 +111,9 @@
 
     void putTarget(const StoreEntry&, MonotonicTime now);
     void putRoutes(const StoreEntry&);
+    void setRoutes(const RouteTablePointer&);
+    void logTarget(const TargetRecord&, StoreVersion);
+    bool isFollower() const { return m_members.role() == MemberRole::Follower; }
     void applyPeerTargets(const ViewSnapshot&);
     void updateFreshness();
     void notifyIfComplete();
@@ -129,6 +132,7 @@
     EventLog& m_log;
     const Clock& m_clock;
     MonotonicTime m_startedAt;
+    MemberRole m_loggedRole = MemberRole::Independent;
     TargetObserver m_targetObserver;
     RouteObserver m_routeObserver;
     // A full list of targets has been read, from the store or a peer.
--- a/packages/discovery/include/anvilwalk/discovery/HttpGetClient.h
+++ b/packages/discovery/include/anvilwalk/discovery/HttpGetClient.h
@@ -15,6 +15,9 @@
     Ipv4Endpoint server;
     // Timeout for establishing the TCP connection.
     std::chrono::milliseconds connectTimeout { 1500 };
+    // Whether a request that fails on a connection that was idle before is sent once more over a new one. Not for
+    // watches: their failure tells that changes may have been missed.
+    bool retryOnIdleConnection = false;
     // Maximum size of a response body, in bytes.
     std::size_t maxBodyBytes = 8 << 20;
 };
@@ -26,8 +29,7 @@
 };
 
 // HTTP/1.1 GET client. Sends requests over a persistent connection, which is opened on demand and closed after a failed
-// request. A request that fails on a connection that was idle before is sent once more over a new one. Requests that
-// overlap use connections of their own.
+// request. Requests that overlap use connections of their own.
 class HttpGetClient {
 public:
     HttpGetClient(const HttpGetClientOptions&, boost::asio::io_context&);
--- a/packages/discovery/src/HttpGetClient.cpp
+++ b/packages/discovery/src/HttpGetClient.cpp
@@ -74,8 +74,8 @@
 {
     // Moved out until the request succeeds, so that a failed request never leaves its connection for reuse.
     auto connection = std::exchange(m_connection, nullptr);
-    const bool reused = connection != nullptr;
-    if (!reused) {
+    const bool mayRetry = connection != nullptr && m_options.retryOnIdleConnection;
+    if (!connection) {
         connection = std::make_unique<Connection>(m_context, m_options);
         if (const auto error = co_await connection->open())
             co_return unavailable("connect: " + error.message());
@@ -84,7 +84,7 @@
     request.set(http::field::host, m_options.server.toString());
     http::response<http::string_body> response;
     auto error = co_await connection->exchange(request, response, timeout);
-    if (error && reused && error != beast::error::timeout) {
+    if (error && mayRetry && error != beast::error::timeout) {
         // The server may close an idle connection at any time.
         connection = std::make_unique<Connection>(m_context, m_options);
         error = co_await connection->open();
--- a/packages/discovery/src/HttpPeerReader.cpp
+++ b/packages/discovery/src/HttpPeerReader.cpp
@@ -61,9 +61,10 @@
         m_clients.clear();
     std::shared_ptr<HttpGetClient>& client = m_clients[peer];
     if (!client) {
-        const HttpGetClientOptions options {
-            .server = peer, .connectTimeout = m_options.connectTimeout, .maxBodyBytes = m_options.maxViewBytes
-        };
+        const HttpGetClientOptions options { .server = peer,
+            .connectTimeout = m_options.connectTimeout,
+            .retryOnIdleConnection = true,
+            .maxBodyBytes = m_options.maxViewBytes };
         client = std::make_shared<HttpGetClient>(options, m_context);
     }
     return client;
--- a/packages/membership/include/anvilwalk/membership/MemberList.h
+++ b/packages/membership/include/anvilwalk/membership/MemberList.h
@@ -9,10 +9,23 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace anvilwalk {
 
+// How a balancer learns of changes in the store.
+enum class MemberRole : std::uint8_t {
+    // Follows the store for itself only: the data centre is too small for relays, or no other member is known.
+    Independent,
+    // Follows the store and passes changes on.
+    Relay,
+    // Receives changes from relays.
+    Follower,
+};
+
+std::string_view toString(MemberRole);
+
 struct MemberListOptions {
     // Number of balancers of a data centre that follow the store. Two, so that one can fail without a gap.
     std::size_t relayCount = 2;
@@ -44,10 +57,7 @@
     // Removes members that have not been heard of within their timeout.
     void expire(MonotonicTime now);
 
-    // Returns whether this balancer must follow the store itself.
-    bool isRelay() const;
-    // Returns whether other balancers rely on this one to follow the store.
-    bool hasFollowers() const;
+    MemberRole role() const;
     // Returns whether this balancer is among the longest-running members of its data centre.
     bool isHub() const;
     // Returns the members to which this balancer sends heartbeats: all if it is a hub, else the hubs.
--- a/packages/membership/src/MemberList.cpp
+++ b/packages/membership/src/MemberList.cpp
@@ -15,6 +15,19 @@
 
 } // namespace
 
+std::string_view toString(MemberRole role)
+{
+    switch (role) {
+    case MemberRole::Independent:
+        return "independent";
+    case MemberRole::Relay:
+        return "relay";
+    case MemberRole::Follower:
+        return "follower";
+    }
+    return "unknown";
+}
+
 MemberList::MemberList(const MemberListOptions& options, Member self)
     : m_options(options)
     , m_self(std::move(self))
@@ -95,16 +108,14 @@
     return count >= m_options.minMembersForRelays;
 }
 
-bool MemberList::hasFollowers() const { return usesRelays() && isRelay(); }
-
-bool MemberList::isRelay() const
+MemberRole MemberList::role() const
 {
     if (!usesRelays())
-        return true;
+        return MemberRole::Independent;
     const std::vector<const Entry*> others = localEntries();
     const auto before = std::count_if(others.begin(), others.end(),
         [this](const Entry* entry) { return entry->hasView && (!m_hasView || startedBefore(entry->member, m_self)); });
-    return static_cast<std::size_t>(before) < m_options.relayCount;
+    return static_cast<std::size_t>(before) < m_options.relayCount ? MemberRole::Relay : MemberRole::Follower;
 }
 
 bool MemberList::isHub() const
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -100,7 +100,7 @@
 
 bool Membership::isQueryDue(MonotonicTime now) const
 {
-    return isAlone() || (m_members.isRelay() && now - m_lastQuery >= m_options.queryInterval);
+    return isAlone() || (m_members.role() != MemberRole::Follower && now - m_lastQuery >= m_options.queryInterval);
 }
 
 std::chrono::milliseconds Membership::nextDelay()
@@ -150,7 +150,7 @@
         .sender = m_members.self(),
         .leaving = state.leaving,
         .hasView = state.hasView,
-        .relay = state.hasView && m_members.hasFollowers(),
+        .relay = state.hasView && m_members.role() == MemberRole::Relay,
         .needsCurrentTargets = state.needsCurrentTargets,
         .view = state.view,
         .memberCount = m_members.memberCount(),
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -146,9 +146,8 @@
     // Flows with older entries have already ended by their own timeouts.
     constexpr std::chrono::seconds retention { 60 };
     // A token may have become known, because its target was newer than this balancer's view.
-    absl::erase_if(m_unknownSince, [&](const auto& entry) {
-        return now - entry.second >= retention || m_targets.find(entry.first) != nullptr;
-    });
+    absl::erase_if(m_unknownSince,
+        [&](const auto& entry) { return now - entry.second >= retention || m_targets.find(entry.first) != nullptr; });
 }
 
 } // namespace anvilwalk
--- a/tests/discovery/HttpPeerReaderTest.cpp
+++ b/tests/discovery/HttpPeerReaderTest.cpp
@@ -16,22 +16,29 @@
 
 const KnownVersions known { .targets = StoreVersion(4), .config = ConfigVersion(2) };
 
-ReadResult readFrom(const std::string& response, std::vector<std::string>* requests = nullptr)
+// Runs one read to completion.
+ReadResult complete(asio::io_context& context, HttpPeerReader& reader, const Ipv4Endpoint& peer)
 {
-    ScriptedHttpServer server({ response });
-    asio::io_context context;
-    HttpPeerReader reader(HttpPeerReaderOptions {}, context);
     std::optional<ReadResult> outcome;
-    const Ipv4Endpoint peer = server.endpoint();
     asio::co_spawn(context, reader.read(peer, known), [&](const std::exception_ptr& thrown, ReadResult result) {
         REQUIRE_FALSE(thrown);
         outcome = std::move(result);
     });
+    context.restart();
     context.run();
     REQUIRE(outcome);
+    return *outcome;
+}
+
+ReadResult readFrom(const std::string& response, std::vector<std::string>* requests = nullptr)
+{
+    ScriptedHttpServer server({ response });
+    asio::io_context context;
+    HttpPeerReader reader(HttpPeerReaderOptions {}, context);
+    const ReadResult result = complete(context, reader, server.endpoint());
     if (requests != nullptr)
         *requests = server.requests();
-    return *outcome;
+    return result;
 }
 
 std::string httpResponse(const std::string& status, const std::string& body)
@@ -70,3 +77,16 @@
              "/v1/view/-1/2", "/v1/view/99999999999999999999/1" })
         CHECK_FALSE(parseViewPath(path));
 }
+
+// Guards against a failed read after each pause: a peer closes connections that are idle.
+TEST_CASE("HttpPeerReader reads again over a new connection when the peer has closed the idle one")
+{
+    const std::string body = encodeView({ .routes = routeTable(3), .targets = {}, .targetsVersion = StoreVersion(9) });
+    const std::string answer = httpResponse("200 OK", body);
+    ScriptedHttpServer server({ answer, answer });
+    asio::io_context context;
+    HttpPeerReader reader(HttpPeerReaderOptions {}, context);
+    for (int call = 0; call < 2; ++call)
+        CHECK(isOk(complete(context, reader, server.endpoint())));
+    CHECK(server.requests().size() == 2);
+}
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -260,7 +260,7 @@
     MemberMessage hub { .sender = member(8), .hasView = true };
     hub.memberCount = 40;
     fixture.members.handle(hub, fixture.scene.clock.now());
-    REQUIRE(fixture.members.hasFollowers());
+    REQUIRE(fixture.members.role() == MemberRole::Relay);
     CHECK(fixture.view.targetObserver().untilNeeded() <= Duration::zero());
     CHECK(fixture.view.targetObserver().maxWatchWait() == 3s);
 }
--- a/tests/membership/MemberListTest.cpp
+++ b/tests/membership/MemberListTest.cpp
@@ -45,8 +45,7 @@
     for (std::uint32_t self = 1; self <= 10; ++self) {
         const Fixture fixture(self);
         INFO("member " << self);
-        CHECK(fixture.list.isRelay() == (self <= 2));
-        CHECK(fixture.list.hasFollowers() == (self <= 2));
+        CHECK(fixture.list.role() == (self <= 2 ? MemberRole::Relay : MemberRole::Follower));
         CHECK(fixture.list.isHub() == (self <= 4));
         CHECK(fixture.list.heartbeatDestinations().size() == (self <= 4 ? 9 : 4));
         CHECK(fixture.list.introductionsFor(DataCentreId("lima-a")).front() == member(1));
@@ -58,12 +57,12 @@
 {
     Fixture fixture(3);
     fixture.list.handle(heartbeat(member(1), false), fixture.clock.now());
-    CHECK(fixture.list.isRelay());
+    CHECK(fixture.list.role() == MemberRole::Relay);
     fixture.list.setOwnState(false, false);
-    CHECK_FALSE(fixture.list.isRelay());
+    CHECK(fixture.list.role() == MemberRole::Follower);
 
     MemberList alone(MemberListOptions {}, member(3));
-    CHECK(alone.isRelay());
+    CHECK(alone.role() == MemberRole::Independent);
 }
 
 TEST_CASE("In a small data centre every member follows the store and none has followers")
@@ -74,15 +73,14 @@
     for (std::uint32_t number = 1; number <= 6; ++number)
         list.handle(heartbeat(member(number)), clock.now());
     CHECK(list.memberCount() == 7);
-    CHECK(list.isRelay());
-    CHECK_FALSE(list.hasFollowers());
+    CHECK(list.role() == MemberRole::Independent);
 
     SECTION("until a hub hears from more members than this one")
     {
         MemberMessage message = heartbeat(member(1));
         message.memberCount = 40;
         list.handle(message, clock.now());
-        CHECK_FALSE(list.isRelay());
+        CHECK(list.role() == MemberRole::Follower);
     }
 }
 
@@ -90,7 +88,7 @@
 TEST_CASE("The next members become relays when the relays fall silent or leave")
 {
     Fixture fixture(3);
-    REQUIRE_FALSE(fixture.list.isRelay());
+    REQUIRE(fixture.list.role() == MemberRole::Follower);
     SECTION("silence")
     {
         fixture.clock.advance(3s);
@@ -105,7 +103,7 @@
         message.leaving = true;
         fixture.list.handle(message, fixture.clock.now());
     }
-    CHECK(fixture.list.isRelay());
+    CHECK(fixture.list.role() == MemberRole::Relay);
 }
 
 // Guards against a stopped member that others keep alive by introducing it to each other.
@@ -132,7 +130,7 @@
     restarted.startedMs = 99;
     CHECK(fixture.list.handle(heartbeat(restarted, false), fixture.clock.now()));
     CHECK_FALSE(fixture.list.handle(heartbeat(restarted, false), fixture.clock.now()));
-    CHECK(fixture.list.isRelay());
+    CHECK(fixture.list.role() == MemberRole::Relay);
 }
 
 // Guards against relays in another data centre, whose messages would cross between data centres.
--- a/tests/platform/ObjectApiReaderTest.cpp
+++ b/tests/platform/ObjectApiReaderTest.cpp
@@ -54,16 +54,17 @@
 
 TEST_CASE("ObjectApiReader reads a page and requests the next")
 {
-    Fixture fixture({ httpResponse("200 OK", R"({"items":[)" + targetText + R"(],"more":true,"as_of":8})"),
-        httpResponse("200 OK", R"({"items":[],"more":false,"as_of":9})") });
+    Fixture fixture({ httpResponse("200 OK", R"({"items":[)" + targetText + R"(],"more":true,"as_of":8})") });
     const auto page = complete(fixture.context, fixture.reader.list("", ReadFreshness::Current));
     REQUIRE(isOk(page));
     CHECK(valueOf(page).entries.size() == 1);
     CHECK(valueOf(page).more);
     CHECK(valueOf(page).version == StoreVersion(8));
-    complete(fixture.context, fixture.reader.list("i-1a", ReadFreshness::MayBeStale));
     CHECK(fixture.server.requests().at(0).find("GET /api/objects/servers HTTP/1.1") == 0);
-    CHECK(fixture.server.requests().at(1).find("GET /api/objects/servers?stale_ok=1&after=i-1a HTTP/1.1") == 0);
+
+    Fixture next({ httpResponse("200 OK", R"({"items":[],"more":false,"as_of":9})") });
+    CHECK(isOk(complete(next.context, next.reader.list("i-1a", ReadFreshness::MayBeStale))));
+    CHECK(next.server.requests().at(0).find("GET /api/objects/servers?stale_ok=1&after=i-1a HTTP/1.1") == 0);
 }
 
 TEST_CASE("ObjectApiReader reads changes, including deletions")
@@ -103,6 +104,18 @@
     CHECK_FALSE(isOk(complete(cut.context, cut.reader.list("", ReadFreshness::Current))));
 }
 
+// Guards against a missed change: the store cuts watches when it discards its history, and a watch that is repeated
+// from the old version may never hear of what was discarded.
+TEST_CASE("ObjectApiReader reports a watch that is cut and does not repeat it")
+{
+    const std::string answer = httpResponse("200 OK", R"({"events":[],"as_of":11})");
+    Fixture fixture({ answer, answer });
+    REQUIRE(isOk(complete(fixture.context, fixture.reader.watch(StoreVersion(8), 100ms, ReadFreshness::Current))));
+    // The server has closed the connection of the first call.
+    CHECK_FALSE(isOk(complete(fixture.context, fixture.reader.watch(StoreVersion(11), 100ms, ReadFreshness::Current))));
+    CHECK(fixture.server.requests().size() == 1);
+}
+
 // Guards against a watch that waits forever on a dead connection.
 TEST_CASE("ObjectApiReader times out a call without a response")
 {
