membership: pure protocol, played with 1,000 members; successors of hubs are known before hubs fail

Played in memory they did not: when four hubs died at once, the survivors knew nobody and were introduced to the dead by the seeds; members that started together were sometimes without a relay after 5 s. Change: MemberProtocol decides, Membership has the socket; eight members are introduced instead of four; heartbeats go to successors of silent hubs too; seeds forget members of other data centres after 6 s; a member that is introduced to others greets them at once; a relay watches as soon as it knows its role.

Measured in the tests: two relays in each data centre 5 s after 24 to 1,000 balancers have started, with 5% loss too; 4 and 10 hubs killed at once are replaced within 8 s; ten seeds. Failed before: 4 and 10 hubs killed, 5% loss, 1,000 members.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -204,8 +204,8 @@
     if (!m_settings.heartbeatAddress)
         return std::monostate {};
     MembershipObserver& observer = *this;
-    m_membership = std::make_unique<Membership>(MembershipOptions { .address = *m_settings.heartbeatAddress },
-        m_context, m_members, m_seeds, observer, m_clock);
+    m_membership
+        = std::make_unique<Membership>(*m_settings.heartbeatAddress, m_context, m_members, m_seeds, observer, m_clock);
     Status status = m_membership->open();
     if (!isOk(status))
         return status;
@@ -234,7 +234,7 @@
     const MonotonicTime now = m_clock.now();
     if (m_relayFeed.isFetching())
         return now - start < relayReadTime;
-    const auto introduced = m_membership->introducedAt();
+    const auto introduced = m_membership->protocol().introducedAt();
     const bool relaysAreSilent = introduced && (m_members.memberCount() == 1 || now - *introduced >= relayAnswerTime);
     return !relaysAreSilent && now - start < relaySearchTime;
 }
@@ -256,7 +256,7 @@
 {
     m_members.setOwnState(m_view.isComplete(), m_stopping);
     if (m_membership && m_members.role() == MemberRole::Relay)
-        m_membership->announce();
+        m_membership->protocol().announce(m_clock.now());
 }
 
 std::optional<HttpReply> EdgeBalancer::handlePeerRequest(std::string_view path)
@@ -348,7 +348,7 @@
     m_log.write(EventKind::Process, "stopping");
     m_log.flush();
     if (m_membership)
-        m_membership->announce();
+        m_membership->protocol().announce(m_clock.now());
     const auto maxWait = m_settings.stopDeadline - std::min(stopMargin, m_settings.stopDeadline);
     asio::steady_timer timer(m_context);
     for (;;) {
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -4,6 +4,13 @@
 
 namespace anvilwalk {
 
+namespace {
+
+    // How soon a balancer that has just started notices that it is a relay.
+    constexpr Duration roleCheckInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
 RoutingView::RoutingView(const RoutingViewOptions& options, TargetCatalogue& targets, TokenRouter& router,
     const MemberList& members, EventLog& log, const Clock& clock)
     : m_options(options)
@@ -208,7 +215,15 @@
     // A read of this balancer itself counts like a confirmation by a relay.
     const Duration remaining
         = std::min(m_targetObserver.answeredAt, m_routeObserver.answeredAt) + m_options.maxRelayAge - now;
-    return isFollower() ? remaining : std::min(remaining, m_startedAt + m_options.startupTime - now);
+    switch (m_members.role()) {
+    case MemberRole::Follower:
+        return remaining;
+    case MemberRole::Independent:
+        return std::min({ remaining, m_startedAt + m_options.startupTime - now, roleCheckInterval });
+    case MemberRole::Relay:
+        break;
+    }
+    return Duration::zero();
 }
 
 bool RoutingView::needsCurrentTargets() const
--- a/packages/membership/include/anvilwalk/membership.h
+++ b/packages/membership/include/anvilwalk/membership.h
@@ -6,4 +6,5 @@
 #include <anvilwalk/membership/Member.h>
 #include <anvilwalk/membership/MemberList.h>
 #include <anvilwalk/membership/MemberMessage.h>
+#include <anvilwalk/membership/MemberProtocol.h>
 #include <anvilwalk/membership/Membership.h>
--- a/packages/membership/include/anvilwalk/membership/MemberList.h
+++ b/packages/membership/include/anvilwalk/membership/MemberList.h
@@ -26,18 +26,32 @@
 
 std::string_view toString(MemberRole);
 
+// What a message has changed in a member list.
+struct MemberListChange {
+    // The sender was not known to be running before.
+    bool newSender = false;
+    // Members were introduced that were not known before.
+    bool introduced = false;
+};
+
 struct MemberListOptions {
     // Number of balancers of a data centre that follow the store. Two, so that one can fail without a gap.
     std::size_t relayCount = 2;
     // Number of the longest-running members that exchange heartbeats with all members: the relays and their successors.
     std::size_t hubCount = 4;
+    // Number of the longest-running members that are introduced to others. More than the hubs, so that others know
+    // successors when all hubs fail at once.
+    std::size_t introductionCount = 8;
     // In a data centre with fewer members, every balancer follows the store itself.
     std::size_t minMembersForRelays = 8;
     // A member that has not been heard of for this long is considered stopped. Longer than three heartbeat intervals,
     // because datagrams are lost occasionally.
     std::chrono::milliseconds memberTimeout { 3500 };
-    // The same for members of other data centres, which are known only from their queries.
-    std::chrono::milliseconds remoteMemberTimeout { 20'000 };
+    // Heartbeats are also sent to a successor of a hub that has been silent for this long; two heartbeat intervals.
+    std::chrono::milliseconds hubSilence { 2200 };
+    // The timeout for members of other data centres, which are known only from their queries. Longer than the interval
+    // of these.
+    std::chrono::milliseconds remoteMemberTimeout { 6000 };
     // Limits the memory that forged messages can use.
     std::size_t maxMembers = 4096;
 };
@@ -52,8 +66,8 @@
 
     // Sets whether this balancer has a complete view and whether it is stopping.
     void setOwnState(bool hasView, bool leaving);
-    // Applies any message from another balancer. Returns whether its sender was not known to be running before.
-    bool handle(const MemberMessage&, MonotonicTime now);
+    // Applies any message from another balancer.
+    MemberListChange handle(const MemberMessage&, MonotonicTime now);
     // Removes members that have not been heard of within their timeout.
     void expire(MonotonicTime now);
 
@@ -61,10 +75,10 @@
     // Returns whether this balancer is among the longest-running members of its data centre.
     bool isHub() const;
     // Returns the members to which this balancer sends heartbeats: all if it is a hub, else the hubs.
-    std::vector<Member> heartbeatDestinations() const;
-    // Returns the longest-running members of a data centre, at most hubCount.
+    std::vector<Member> heartbeatDestinations(MonotonicTime now) const;
+    // Returns the longest-running members of a data centre, at most introductionCount.
     std::vector<Member> introductionsFor(const DataCentreId&) const;
-    // Returns the number of members of the own data centre, this balancer included.
+    // Returns the number of members of the own data centre that have been heard of, this balancer included.
     std::uint32_t memberCount() const;
     // Returns whether any member of the own data centre waits for a read of targets that is not stale.
     bool anyNeedsCurrentTargets() const;
@@ -83,7 +97,8 @@
         MonotonicTime lastHeard;
     };
 
-    void introduce(const Member&, MonotonicTime now);
+    // Returns whether the member was not known before.
+    bool introduce(const Member&, MonotonicTime now);
     bool confirm(const MemberMessage&, MonotonicTime now);
     bool isLocal(const Member& member) const { return member.dataCentre == m_self.dataCentre; }
     std::vector<const Entry*> localEntries() const;
--- a/packages/membership/src/MemberList.cpp
+++ b/packages/membership/src/MemberList.cpp
@@ -40,21 +40,21 @@
     m_leaving = leaving;
 }
 
-bool MemberList::handle(const MemberMessage& message, MonotonicTime now)
+MemberListChange MemberList::handle(const MemberMessage& message, MonotonicTime now)
 {
     if (message.sender.id == m_self.id)
-        return false;
+        return {};
     if (message.leaving) {
         m_entries.erase(message.sender.id.value());
-        return false;
+        return {};
     }
-    const bool isNew = confirm(message, now);
+    MemberListChange change { .newSender = confirm(message, now) };
     for (const Member& member : message.members) {
         // Introductions to members of other data centres are not needed.
-        if (isLocal(member))
-            introduce(member, now);
+        if (isLocal(member) && introduce(member, now))
+            change.introduced = true;
     }
-    return isNew;
+    return change;
 }
 
 bool MemberList::confirm(const MemberMessage& message, MonotonicTime now)
@@ -73,11 +73,17 @@
     return isNew;
 }
 
-void MemberList::introduce(const Member& member, MonotonicTime now)
+bool MemberList::introduce(const Member& member, MonotonicTime now)
 {
-    // A known member is not refreshed: two balancers that introduce a stopped member to each other would keep it.
-    if (member.id != m_self.id && m_entries.size() < m_options.maxMembers)
-        m_entries.emplace(member.id.value(), Entry { .member = member, .lastHeard = now });
+    if (member.id == m_self.id || m_entries.size() >= m_options.maxMembers)
+        return false;
+    const auto [found, inserted]
+        = m_entries.try_emplace(member.id.value(), Entry { .member = member, .lastHeard = now });
+    // A member that has been heard of is not refreshed: two balancers that introduce a stopped member to each other
+    // would keep it.
+    if (inserted || !found->second.confirmed)
+        found->second.lastHeard = now;
+    return inserted;
 }
 
 void MemberList::expire(MonotonicTime now)
@@ -102,7 +108,7 @@
 {
     const std::vector<const Entry*> others = localEntries();
     // Hubs hear from more members than others do.
-    std::size_t count = others.size() + 1;
+    std::size_t count = memberCount();
     for (const Entry* entry : others)
         count = std::max<std::size_t>(count, entry->memberCount);
     return count >= m_options.minMembersForRelays;
@@ -126,16 +132,22 @@
     return static_cast<std::size_t>(before) < m_options.hubCount;
 }
 
-std::vector<Member> MemberList::heartbeatDestinations() const
+std::vector<Member> MemberList::heartbeatDestinations(MonotonicTime now) const
 {
-    std::vector<Member> members;
-    for (const Entry* entry : localEntries())
-        members.push_back(entry->member);
-    if (isHub() || m_leaving || members.size() <= m_options.hubCount)
-        return members;
-    std::sort(members.begin(), members.end(), startedBefore);
-    members.resize(m_options.hubCount);
-    return members;
+    std::vector<const Entry*> entries = localEntries();
+    std::sort(entries.begin(), entries.end(),
+        [](const Entry* a, const Entry* b) { return startedBefore(a->member, b->member); });
+    const bool toAll = isHub() || m_leaving;
+    std::size_t hubs = 0;
+    std::vector<Member> destinations;
+    for (const Entry* entry : entries) {
+        if (!toAll && hubs == m_options.hubCount)
+            break;
+        destinations.push_back(entry->member);
+        if (now - entry->lastHeard < m_options.hubSilence)
+            ++hubs;
+    }
+    return destinations;
 }
 
 std::vector<Member> MemberList::introductionsFor(const DataCentreId& dataCentre) const
@@ -148,11 +160,17 @@
     if (dataCentre == m_self.dataCentre && !m_leaving)
         members.push_back(m_self);
     std::sort(members.begin(), members.end(), startedBefore);
-    members.resize(std::min(members.size(), m_options.hubCount));
+    members.resize(std::min(members.size(), m_options.introductionCount));
     return members;
 }
 
-std::uint32_t MemberList::memberCount() const { return static_cast<std::uint32_t>(localEntries().size() + 1); }
+std::uint32_t MemberList::memberCount() const
+{
+    const std::vector<const Entry*> others = localEntries();
+    const auto confirmed
+        = std::count_if(others.begin(), others.end(), [](const Entry* entry) { return entry->confirmed; });
+    return static_cast<std::uint32_t>(confirmed) + 1;
+}
 
 bool MemberList::anyNeedsCurrentTargets() const
 {
