--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,6 +11,9 @@
 constexpr auto rollGap = 1300ms;
 // Flows that each zone's clients open over a new route.
 constexpr int flowsPerRoute = 6;
+// Each balancer is stopped this often.
+constexpr std::size_t rounds = 2;
+constexpr int storms = 5;
 
 Endpoint addedAddress(uint32_t number) { return { 198U << 24U | 18U << 16U | 1U << 8U | number, 9000 }; }
 
@@ -67,14 +70,15 @@
     world.loop.runFor(stableWindow + 2000ms);
 
     if (world.trouble) {
-        for (std::size_t number = 0; number < world.balancers.size(); ++number)
-            world.loop.after(rollGap * number, [&world, number] {
+        const std::size_t count = world.balancers.size();
+        for (std::size_t stop = 0; stop < rounds * count; ++stop)
+            world.loop.after(rollGap * stop, [&world, number = stop % count] {
                 world.record.line("%s gets SIGTERM", world.balancers[number]->name().c_str());
                 world.balancers[number]->terminate();
             });
     }
     uint32_t added = 0;
-    for (int storm = 0; storm < 3; ++storm) {
+    for (int storm = 0; storm < storms; ++storm) {
         const Time end = Clock::now() + stormTime;
         while (Clock::now() < end) {
             const Endpoint address = addedAddress(++added);
--- a/review/harness/World.h
+++ b/review/harness/World.h
@@ -391,6 +391,18 @@
         m_objects[kind].erase(found);
         tick();
     }
+    // While the store is down, calls get no answer; those that wait are answered when it is back.
+    void setDown(bool down)
+    {
+        m_down = down;
+        tick();
+    }
+    bool isDown() const { return m_down; }
+    bool contains(const std::string& kind, const std::string& name) const
+    {
+        const auto found = m_objects.find(kind);
+        return found != m_objects.end() && found->second.contains(name);
+    }
     // Calls with stale_ok are answered with what was true this long ago.
     void setLag(std::chrono::milliseconds lag) { m_lag = lag; }
     // Open connections go silent for good; new ones work.
@@ -532,6 +544,12 @@
     void handle(int descriptor, Connection& connection, const std::string& line)
     {
         ++m_calls;
+        if (m_down) {
+            // A connection on which an answer is lost returns nothing further.
+            connection.silent = true;
+            m_loop.forget(descriptor);
+            return;
+        }
         const std::size_t begin = line.find(' ') + 1;
         const std::string target = line.substr(begin, line.rfind(' ') - begin);
         const std::size_t mark = target.find('?');
@@ -558,6 +576,8 @@
     }
     void tick()
     {
+        if (m_down)
+            return;
         std::vector<int> descriptors;
         for (const auto& [descriptor, connection] : m_connections) {
             if (connection->watching && !connection->silent)
@@ -595,6 +615,7 @@
     int m_listener;
     uint64_t m_revision = 1;
     std::chrono::milliseconds m_lag { 0 };
+    bool m_down = false;
     uint64_t m_calls = 0;
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::deque<Change> m_history;
