discovery: an answer of the store says for which time it is current

The age of routes and targets counted from the arrival of an answer. An answer may have been on its way for any time since its request, so decisions that need to know what the store had accepted at a moment had no sound one. StoreFeed now tells it: the start of a list or of a watch that returned changes, and the end of the wait of a watch that returned none. A relay ends its watches before followers consider its data too old, whatever that age is (before: a fixed wait).

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -145,8 +145,8 @@
                   return std::nullopt;
               return HttpReply { .body = currentMetrics() };
           })
-    , m_targetFeed(targetFeedOptions(settings), context, platform.targets, m_view.targetObserver())
-    , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver())
+    , m_targetFeed(targetFeedOptions(settings), context, platform.targets, m_view.targetObserver(), clock)
+    , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver(), clock)
     , m_peerFeed({ .self = settings.peerAddress.value_or(Ipv4Endpoint {}),
                      .seed = hashText(settings.balancer.value(), hashText("peers")) },
           context, platform.peerList, platform.peers, m_view)
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -9,6 +9,9 @@
     // How soon a balancer that has just started notices that it is a relay.
     constexpr Duration roleCheckInterval = std::chrono::milliseconds(100);
 
+    // A watch that waits no longer confirms the data at once.
+    constexpr std::chrono::milliseconds minWatchWait(1);
+
 } // namespace
 
 RoutingView::RoutingView(const RoutingViewOptions& options, TargetCatalogue& targets, TokenRouter& router,
@@ -32,10 +35,11 @@
     m_view.updateFreshness();
 }
 
-void RoutingView::FeedObserver::onResponse(StoreVersion version, ReadFreshness)
+void RoutingView::FeedObserver::onResponse(const StoreAnswer& answer)
 {
-    answeredVersion = std::max(answeredVersion, version);
-    answeredAt = m_view.m_clock.now();
+    answeredVersion = std::max(answeredVersion, answer.version);
+    if (answer.currentAt)
+        confirmedAt = std::max(confirmedAt, *answer.currentAt);
 }
 
 void RoutingView::FeedObserver::onFailure(const Error& error)
@@ -47,14 +51,16 @@
     m_view.updateFreshness();
 }
 
-void RoutingView::TargetObserver::onResponse(StoreVersion version, ReadFreshness freshness)
+void RoutingView::TargetObserver::onResponse(const StoreAnswer& answer)
 {
-    FeedObserver::onResponse(version, freshness);
-    if (freshness != ReadFreshness::Current)
+    FeedObserver::onResponse(answer);
+    if (!answer.currentAt) {
+        confirmedAt = m_view.m_clock.now();
         return;
-    m_view.m_currentTargetsAt = answeredAt;
-    m_view.m_targets.recordStoreAnswer(answeredAt);
-    m_view.m_router.recordStoreAnswer(answeredAt);
+    }
+    m_view.m_currentTargetsAt = std::max(m_view.m_currentTargetsAt, *answer.currentAt);
+    m_view.m_targets.recordStoreAnswer(m_view.m_currentTargetsAt);
+    m_view.m_router.recordStoreAnswer(m_view.m_currentTargetsAt);
 }
 
 void RoutingView::TargetObserver::onFailure(const Error& error)
@@ -176,7 +182,7 @@
     if (view.complete)
         m_targets.retainOnly(names, view.targetsVersion, now);
     m_targetObserver.answeredVersion = view.targetsVersion;
-    m_targetObserver.answeredAt = now - view.targetsAge;
+    m_targetObserver.confirmedAt = now - view.targetsAge;
     m_hasTargets = true;
 }
 
@@ -187,8 +193,8 @@
     m_relayTargetsAt = std::max(m_relayTargetsAt, receivedAt - status.targetsAge);
     m_relayRoutesAt = std::max(m_relayRoutesAt, receivedAt - status.routesAge);
     m_hasRelayConfirmation = true;
-    m_targetObserver.answeredAt = std::max(m_targetObserver.answeredAt, m_relayTargetsAt);
-    m_routeObserver.answeredAt = std::max(m_routeObserver.answeredAt, m_relayRoutesAt);
+    m_targetObserver.confirmedAt = std::max(m_targetObserver.confirmedAt, m_relayTargetsAt);
+    m_routeObserver.confirmedAt = std::max(m_routeObserver.confirmedAt, m_relayRoutesAt);
     const MonotonicTime currentAt = receivedAt - status.currentTargetsAge;
     if (currentAt > m_currentTargetsAt) {
         m_currentTargetsAt = currentAt;
@@ -214,7 +220,7 @@
         return Duration::zero();
     // A read of this balancer itself counts like a confirmation by a relay.
     const Duration remaining
-        = std::min(m_targetObserver.answeredAt, m_routeObserver.answeredAt) + m_options.maxRelayAge - now;
+        = std::min(m_targetObserver.confirmedAt, m_routeObserver.confirmedAt) + m_options.maxRelayAge - now;
     switch (m_members.role()) {
     case MemberRole::Follower:
         return remaining;
@@ -253,11 +259,12 @@
     return *due - m_clock.now();
 }
 
-std::chrono::milliseconds RoutingView::maxWatchWait() const
+std::chrono::milliseconds RoutingView::maxWatchWait(const FeedObserver& feed) const
 {
     if (m_members.role() != MemberRole::Relay)
         return std::chrono::hours(1);
-    return m_options.maxRelayAge - m_options.relayMargin;
+    const MonotonicTime end = feed.confirmedAt + m_options.maxRelayAge - m_options.relayMargin;
+    return std::max(minWatchWait, std::chrono::floor<std::chrono::milliseconds>(end - m_clock.now()));
 }
 
 void RoutingView::notifyChange()
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -57,10 +57,11 @@
     void onPeerFailure(const Ipv4Endpoint& peer, const Error&) override;
     void onRelayConfirmation(const ViewStatus&, MonotonicTime receivedAt) override;
 
-    // Store version of the last answer about targets, and the time since that answer.
+    // Store version of the last answer about targets, and the ages of targets and routes: the time since the store last
+    // confirmed them.
     StoreVersion targetsVersion() const { return m_targetObserver.answeredVersion; }
-    Duration targetsAge() const { return m_clock.now() - m_targetObserver.answeredAt; }
-    Duration routesAge() const { return m_clock.now() - m_routeObserver.answeredAt; }
+    Duration targetsAge() const { return m_clock.now() - m_targetObserver.confirmedAt; }
+    Duration routesAge() const { return m_clock.now() - m_routeObserver.confirmedAt; }
 
 private:
     // Common part of the observers of both feeds.
@@ -72,16 +73,17 @@
         {
         }
         void onReachable() override;
-        void onResponse(StoreVersion, ReadFreshness) override;
+        void onResponse(const StoreAnswer&) override;
         void onFailure(const Error&) override;
         Duration untilNeeded() const override { return m_view.untilStoreNeeded(); }
-        std::chrono::milliseconds maxWatchWait() const override { return m_view.maxWatchWait(); }
+        std::chrono::milliseconds maxWatchWait() const override { return m_view.maxWatchWait(*this); }
         bool hasRelays() const override { return m_view.isComplete() && m_view.isFollower(); }
 
         bool inContact = false;
-        // Version and time of the last answer.
+        // Version of the last answer.
         StoreVersion answeredVersion;
-        MonotonicTime answeredAt;
+        // The store last confirmed the data for this time.
+        MonotonicTime confirmedAt;
 
     protected:
         RoutingView& m_view;
@@ -91,7 +93,7 @@
     class TargetObserver final : public FeedObserver {
     public:
         using FeedObserver::FeedObserver;
-        void onResponse(StoreVersion, ReadFreshness) override;
+        void onResponse(const StoreAnswer&) override;
         std::optional<Duration> untilCurrentRead() const override { return m_view.untilCurrentTargetsRead(); }
         StoreVersion passedOnVersion() const override { return passedOn; }
         void onFailure(const Error&) override;
@@ -121,7 +123,8 @@
     Duration relayConfirmationRemaining() const;
     // Time for which relays make reads of the store unnecessary.
     Duration untilStoreNeeded() const;
-    std::chrono::milliseconds maxWatchWait() const;
+    // Wait of a watch that ends before followers consider the data too old.
+    std::chrono::milliseconds maxWatchWait(const FeedObserver&) const;
     std::optional<MonotonicTime> currentTargetsDue() const;
     std::optional<Duration> untilCurrentTargetsRead() const;
 
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -15,6 +15,14 @@
 
 namespace anvilwalk {
 
+// What a response of the store says about the age of its data.
+struct StoreAnswer {
+    // Version of the store at the time of the response.
+    StoreVersion version;
+    // The response includes every change that the store had accepted at this time; nullopt if it may be stale.
+    std::optional<MonotonicTime> currentAt;
+};
+
 // Receives the entries and the state of a StoreFeed.
 class StoreFeedObserver {
 public:
@@ -25,9 +33,8 @@
     virtual void onChanges(const std::vector<StoreEntry>&, StoreVersion) = 0;
     // The store responded for the first time, or for the first time since a failed call.
     virtual void onReachable() = 0;
-    // The store responded to a call; the version is that of the response. Called before the entries of the response are
-    // delivered.
-    virtual void onResponse(StoreVersion, ReadFreshness) = 0;
+    // The store responded to a call. Called before the entries of the response are delivered.
+    virtual void onResponse(const StoreAnswer&) = 0;
     // Time until a decision needs a read that is not stale; nullopt if none does.
     virtual std::optional<Duration> untilCurrentRead() const { return std::nullopt; }
     // Time for which the store need not be read, because other balancers pass its changes on.
@@ -68,7 +75,7 @@
 // the store does not limit.
 class StoreFeed {
 public:
-    StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&);
+    StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&, const Clock&);
 
     // Runs until the io_context ends.
     boost::asio::awaitable<void> run();
@@ -83,6 +90,8 @@
         std::string after;
         // All pages have been read.
         bool complete = false;
+        // When the first page was requested; nullopt before that.
+        std::optional<MonotonicTime> startedAt;
     };
 
     // Waits while other balancers pass the changes on.
@@ -93,12 +102,14 @@
     // Reads the changes since a stale list without waiting for new ones.
     boost::asio::awaitable<bool> fetchChangesSinceList();
     std::chrono::milliseconds longestWait() const;
-    void deliverListing();
-    void applyChanges(const StoreChanges&, ReadFreshness);
+    void deliverListing(ReadFreshness);
+    void applyChanges(const StoreChanges&, std::optional<MonotonicTime> currentAt);
     boost::asio::awaitable<bool> fetchChanges();
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait, ReadFreshness);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
-    void handleSuccess(StoreVersion, ReadFreshness);
+    // Time for which the response to a watch that is not stale is current.
+    MonotonicTime currentTimeOf(const StoreChanges&, MonotonicTime start, std::chrono::milliseconds wait) const;
+    void handleSuccess(const StoreAnswer&);
     void handleFailure(const Error&);
     std::chrono::milliseconds nextRetryDelay();
 
@@ -106,6 +117,7 @@
     boost::asio::steady_timer m_timer;
     StoreReader& m_reader;
     StoreFeedObserver& m_observer;
+    const Clock& m_clock;
     pcg32 m_random;
     StoreVersion m_version;
     Listing m_listing;
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -10,12 +10,13 @@
 
 namespace asio = boost::asio;
 
-StoreFeed::StoreFeed(
-    const StoreFeedOptions& options, asio::io_context& context, StoreReader& reader, StoreFeedObserver& observer)
+StoreFeed::StoreFeed(const StoreFeedOptions& options, asio::io_context& context, StoreReader& reader,
+    StoreFeedObserver& observer, const Clock& clock)
     : m_options(options)
     , m_timer(context)
     , m_reader(reader)
     , m_observer(observer)
+    , m_clock(clock)
     , m_random(options.seed)
     , m_retryDelay(options.retryDelay)
 {
@@ -82,7 +83,7 @@
         co_return false;
     if (stale)
         co_return co_await fetchChangesSinceList();
-    deliverListing();
+    deliverListing(ReadFreshness::Current);
     co_return true;
 }
 
@@ -90,6 +91,8 @@
 {
     while (!m_listing.complete) {
         const std::string after = m_listing.after;
+        if (!m_listing.startedAt)
+            m_listing.startedAt = m_clock.now();
         auto result = co_await m_reader.list(after, freshness);
         if (!isOk(result)) {
             handleFailure(errorOf(result));
@@ -110,6 +113,7 @@
 
 asio::awaitable<bool> StoreFeed::fetchChangesSinceList()
 {
+    const MonotonicTime start = m_clock.now();
     const auto result = co_await m_reader.watch(m_listing.version, immediateWait, ReadFreshness::Current);
     if (!isOk(result)) {
         if (errorOf(result).code == ErrorCode::Gone) {
@@ -119,16 +123,17 @@
         handleFailure(errorOf(result));
         co_return false;
     }
-    deliverListing();
-    applyChanges(valueOf(result), ReadFreshness::Current);
+    deliverListing(ReadFreshness::MayBeStale);
+    applyChanges(valueOf(result), currentTimeOf(valueOf(result), start, immediateWait));
     co_return true;
 }
 
-void StoreFeed::deliverListing()
+void StoreFeed::deliverListing(ReadFreshness freshness)
 {
     const Listing listing = std::exchange(m_listing, {});
     m_listCurrent = false;
-    handleSuccess(listing.version, ReadFreshness::Current);
+    handleSuccess({ .version = listing.version,
+        .currentAt = freshness == ReadFreshness::Current ? listing.startedAt : std::nullopt });
     m_version = std::max(m_version, listing.version);
     m_hasSnapshot = true;
     m_observer.onSnapshot(listing.entries, listing.version);
@@ -154,6 +159,7 @@
 
 asio::awaitable<bool> StoreFeed::watch(std::chrono::milliseconds wait, ReadFreshness freshness)
 {
+    const MonotonicTime start = m_clock.now();
     auto result = co_await m_reader.watch(m_version, wait, freshness);
     if (!isOk(result)) {
         // The store may have committed changes that this watch did not report, and discarded their history since; only
@@ -162,15 +168,27 @@
         handleFailure(errorOf(result));
         co_return false;
     }
-    applyChanges(valueOf(result), freshness);
+    std::optional<MonotonicTime> currentAt;
+    if (freshness == ReadFreshness::Current)
+        currentAt = currentTimeOf(valueOf(result), start, wait);
+    applyChanges(valueOf(result), currentAt);
     if (!valueOf(result).entries.empty())
         co_await sleepFor(m_options.changeDelay);
     co_return true;
 }
 
-void StoreFeed::applyChanges(const StoreChanges& changes, ReadFreshness freshness)
+MonotonicTime StoreFeed::currentTimeOf(
+    const StoreChanges& changes, MonotonicTime start, std::chrono::milliseconds wait) const
 {
-    handleSuccess(changes.version, freshness);
+    // The store holds a response without changes back until the wait is over. A response with changes may have been on
+    // its way for any time since the request.
+    const bool waited = changes.entries.empty() && m_clock.now() - start >= wait;
+    return waited ? start + wait : start;
+}
+
+void StoreFeed::applyChanges(const StoreChanges& changes, std::optional<MonotonicTime> currentAt)
+{
+    handleSuccess({ .version = changes.version, .currentAt = currentAt });
     m_version = std::max(m_version, changes.version);
     if (!changes.entries.empty())
         m_observer.onChanges(changes.entries, changes.version);
@@ -183,10 +201,10 @@
     co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
 }
 
-void StoreFeed::handleSuccess(StoreVersion version, ReadFreshness freshness)
+void StoreFeed::handleSuccess(const StoreAnswer& answer)
 {
     m_retryDelay = m_options.retryDelay;
-    m_observer.onResponse(version, freshness);
+    m_observer.onResponse(answer);
     if (!std::exchange(m_reachable, true))
         m_observer.onReachable();
 }
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -1,4 +1,5 @@
 #include <anvilwalk/discovery.h>
+#include <fakes/FakeClock.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,6 +9,7 @@
 #include <variant>
 
 using namespace anvilwalk;
+using namespace anvilwalk::fakes;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
@@ -24,8 +26,9 @@
 // Returns the scripted results in order and stops the io_context after the last one.
 class ScriptedReader final : public StoreReader {
 public:
-    explicit ScriptedReader(asio::io_context& context)
+    ScriptedReader(asio::io_context& context, FakeClock& clock)
         : m_context(context)
+        , m_clock(clock)
     {
     }
 
@@ -33,6 +36,7 @@
     {
         listFreshnesses.push_back(freshness);
         calls.push_back("list " + after);
+        passTime();
         if (pages.empty()) {
             m_context.stop();
             co_return unavailable;
@@ -46,6 +50,7 @@
         StoreVersion from, std::chrono::milliseconds wait, ReadFreshness freshness) override
     {
         calls.push_back("watch " + std::to_string(from.value()));
+        passTime();
         waits.push_back(wait);
         freshnesses.push_back(freshness);
         if (changes.empty()) {
@@ -63,9 +68,20 @@
     std::vector<std::chrono::milliseconds> waits;
     std::vector<ReadFreshness> freshnesses;
     std::vector<ReadFreshness> listFreshnesses;
+    // Time that each call takes; none for the calls after the last one.
+    std::deque<Duration> durations;
 
 private:
+    void passTime()
+    {
+        if (durations.empty())
+            return;
+        m_clock.advance(durations.front());
+        durations.pop_front();
+    }
+
     asio::io_context& m_context;
+    FakeClock& m_clock;
 };
 
 struct RecordingObserver final : StoreFeedObserver {
@@ -75,7 +91,7 @@
     }
     void onChanges(const std::vector<StoreEntry>& entries, StoreVersion) override { changes.push_back(entries.size()); }
     void onReachable() override { ++reachableCount; }
-    void onResponse(StoreVersion, ReadFreshness) override { }
+    void onResponse(const StoreAnswer& answer) override { answers.push_back(answer); }
     void onFailure(const Error&) override { ++failures; }
     std::optional<Duration> untilCurrentRead() const override { return currentReadIn; }
     Duration untilNeeded() const override
@@ -89,6 +105,7 @@
 
     std::vector<std::size_t> snapshots;
     std::vector<std::size_t> changes;
+    std::vector<StoreAnswer> answers;
     int reachableCount = 0;
     int failures = 0;
     std::optional<Duration> currentReadIn;
@@ -101,7 +118,8 @@
 
 struct Fixture {
     asio::io_context context;
-    ScriptedReader reader { context };
+    FakeClock clock;
+    ScriptedReader reader { context, clock };
     RecordingObserver observer;
     bool allowStale = false;
 
@@ -109,7 +127,7 @@
     {
         StoreFeed feed(
             { .allowStale = allowStale, .changeDelay = 1ms, .maxPause = 20ms, .retryDelay = 1ms, .maxRetryDelay = 2ms },
-            context, reader, observer);
+            context, reader, observer, clock);
         asio::co_spawn(context, feed.run(), asio::detached);
         context.run_for(5s);
     }
@@ -250,6 +268,43 @@
     CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 1 });
 }
 
+// Guards against data that is taken for newer than it is: a response may have been on its way for seconds.
+TEST_CASE("StoreFeed tells for which time a response is current")
+{
+    Fixture fixture;
+    const MonotonicTime start = fixture.clock.now();
+    fixture.reader.durations = { 100ms, 100ms, 5020ms, 3s };
+    fixture.reader.pages.push_back(
+        StorePage { .entries = { entry("a", 1) }, .more = true, .version = StoreVersion(5) });
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(5) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = { entry("a", 6) }, .version = StoreVersion(6) });
+    fixture.run();
+    REQUIRE(fixture.observer.answers.size() == 3);
+    // Both pages of the list were read after its start.
+    CHECK(fixture.observer.answers[0].currentAt == start);
+    // The store held the response back for the wait of the watch.
+    CHECK(fixture.observer.answers[1].currentAt == start + 200ms + StoreFeedOptions {}.watchWait);
+    CHECK(fixture.observer.answers[2].currentAt == start + 200ms + 5020ms);
+}
+
+TEST_CASE("StoreFeed claims no time for which a stale response is current")
+{
+    Fixture fixture;
+    fixture.allowStale = true;
+    const MonotonicTime start = fixture.clock.now();
+    fixture.reader.durations = { 100ms, 50ms, 2s };
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = { entry("a", 6) }, .version = StoreVersion(6) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = {}, .version = StoreVersion(9) });
+    fixture.run();
+    REQUIRE(fixture.observer.answers.size() == 3);
+    CHECK_FALSE(fixture.observer.answers[0].currentAt);
+    // The read that completes a stale list is current.
+    CHECK(fixture.observer.answers[1].currentAt == start + 100ms);
+    CHECK_FALSE(fixture.observer.answers[2].currentAt);
+}
+
 // Guards against calls to the store by balancers that relays keep up to date.
 TEST_CASE("StoreFeed reads nothing while other balancers pass the changes on, and then continues from their version")
 {
@@ -289,7 +344,7 @@
         Fixture& fixture;
     } reader(fixture);
     StoreFeed feed({ .changeDelay = 1ms, .maxPause = 20ms, .retryDelay = 1ms, .maxRetryDelay = 2ms }, fixture.context,
-        reader, fixture.observer);
+        reader, fixture.observer, fixture.clock);
     asio::co_spawn(fixture.context, feed.run(), asio::detached);
     fixture.context.run_for(5s);
     const std::vector<std::string> listed { "list ", "watch 5", "list ", "watch 50" };
@@ -317,7 +372,7 @@
         fixture.reader.pages.assign(1000, unavailable);
         StoreFeed feed(
             { .retryDelay = 1ms, .maxRetryDelay = 10ms, .relayedRetryDelay = 20ms, .maxRelayedRetryDelay = 100ms },
-            fixture.context, fixture.reader, fixture.observer);
+            fixture.context, fixture.reader, fixture.observer, fixture.clock);
         asio::co_spawn(fixture.context, feed.run(), asio::detached);
         fixture.context.run_for(500ms);
         return fixture.reader.calls.size();
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -31,6 +31,14 @@
         .startedMs = startedMs };
 }
 
+// An answer of the store that is current now.
+StoreAnswer currentAnswer(std::uint64_t version, const Clock& clock)
+{
+    return { .version = StoreVersion(version), .currentAt = clock.now() };
+}
+
+StoreAnswer staleAnswer(std::uint64_t version) { return { .version = StoreVersion(version), .currentAt = {} }; }
+
 struct Fixture {
     PlacementHarness scene;
     RecordedLines lines;
@@ -42,13 +50,13 @@
 
     void answerTargets(std::uint64_t version, const std::vector<StoreEntry>& entries)
     {
-        view.targetObserver().onResponse(StoreVersion(version), ReadFreshness::Current);
+        view.targetObserver().onResponse(currentAnswer(version, scene.clock));
         view.targetObserver().onReachable();
         view.targetObserver().onSnapshot(entries, StoreVersion(version));
     }
     void answerRoutes(std::uint64_t version)
     {
-        view.routeObserver().onResponse(StoreVersion(version), ReadFreshness::Current);
+        view.routeObserver().onResponse(currentAnswer(version, scene.clock));
         view.routeObserver().onReachable();
         view.routeObserver().onSnapshot({ routesEntry(version) }, StoreVersion(version));
     }
@@ -137,10 +145,10 @@
     CHECK_FALSE(fixture.view.needsCurrentTargets());
     fixture.scene.clock.advance(5s);
     CHECK(fixture.view.needsCurrentTargets());
-    fixture.view.targetObserver().onResponse(StoreVersion(32), ReadFreshness::MayBeStale);
+    fixture.view.targetObserver().onResponse(staleAnswer(32));
     fixture.scene.targets.expire(fixture.scene.clock.now());
     CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Missing);
-    fixture.view.targetObserver().onResponse(StoreVersion(33), ReadFreshness::Current);
+    fixture.view.targetObserver().onResponse(currentAnswer(33, fixture.scene.clock));
     fixture.scene.targets.expire(fixture.scene.clock.now());
     CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Gone);
     CHECK_FALSE(fixture.view.targetObserver().untilCurrentRead());
@@ -283,7 +291,7 @@
     relay.answerRoutes(8);
     StoreEntry removal = targetEntry(2, 29);
     removal.removed = true;
-    relay.view.targetObserver().onResponse(StoreVersion(34), ReadFreshness::Current);
+    relay.view.targetObserver().onResponse(currentAnswer(34, relay.scene.clock));
     relay.view.targetObserver().onChanges({ removal }, StoreVersion(34));
 
     const ViewSnapshot changes = relay.view.snapshot({ .targets = StoreVersion(30), .config = ConfigVersion(8) });
@@ -332,7 +340,7 @@
     CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(1s));
     fixture.scene.clock.advance(1s);
     CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration::zero());
-    fixture.view.targetObserver().onResponse(StoreVersion(31), ReadFreshness::Current);
+    fixture.view.targetObserver().onResponse(currentAnswer(31, fixture.scene.clock));
     CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(1s));
 }
 
@@ -346,9 +354,9 @@
     RoutingView view { { .maxRelayAge = 4s, .startupTime = 1s }, scene.targets, scene.router, members, log,
         scene.clock };
     CHECK(view.targetObserver().untilNeeded() == Duration::zero());
-    view.targetObserver().onResponse(StoreVersion(30), ReadFreshness::Current);
+    view.targetObserver().onResponse(currentAnswer(30, scene.clock));
     view.targetObserver().onSnapshot({ targetEntry(1, 25) }, StoreVersion(30));
-    view.routeObserver().onResponse(StoreVersion(30), ReadFreshness::Current);
+    view.routeObserver().onResponse(currentAnswer(30, scene.clock));
     view.routeObserver().onSnapshot({ routesEntry(8) }, StoreVersion(30));
     CHECK(view.targetObserver().untilNeeded() > Duration::zero());
     scene.clock.advance(900ms);
