edge: forward open flows by their tokens when their route is not known yet

Cause: TokenRouter::route looked for a route before it looked at the token. A balancer whose routes are older than those of the balancer that opened a flow answered the flow's packets with a reset.

Change: only opening packets need a route. An open flow is reset for its route only if the route was withdrawn, which an earlier configuration of this balancer shows, or routes that the store has confirmed for a time after the flow's first packet here. Works because the token alone names the target; no state of the routes is needed to keep a flow.

Test 'TokenRouter forwards an open flow whose route it does not know yet' failed before (2 of 4 checks, with the test added).

--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -102,6 +102,12 @@
     m_view.notifyChange();
 }
 
+void RoutingView::RouteObserver::onResponse(const StoreAnswer& answer)
+{
+    FeedObserver::onResponse(answer);
+    m_view.m_router.recordRoutesConfirmed(confirmedAt);
+}
+
 void RoutingView::RouteObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
 {
     onChanges(entries, version);
@@ -195,6 +201,7 @@
     m_hasRelayConfirmation = true;
     m_targetObserver.confirmedAt = std::max(m_targetObserver.confirmedAt, m_relayTargetsAt);
     m_routeObserver.confirmedAt = std::max(m_routeObserver.confirmedAt, m_relayRoutesAt);
+    m_router.recordRoutesConfirmed(m_routeObserver.confirmedAt);
     const MonotonicTime currentAt = receivedAt - status.currentTargetsAge;
     if (currentAt > m_currentTargetsAt) {
         m_currentTargetsAt = currentAt;
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -107,6 +107,7 @@
     class RouteObserver final : public FeedObserver {
     public:
         using FeedObserver::FeedObserver;
+        void onResponse(const StoreAnswer&) override;
         void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) override;
         void onChanges(const std::vector<StoreEntry>&, StoreVersion) override;
     };
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -7,7 +7,10 @@
 #include <anvilwalk/request.h>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <algorithm>
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -17,6 +20,11 @@
     // If the store answers this long after a token was first seen and the token is still unknown, its target must have
     // terminated before this balancer started.
     std::chrono::milliseconds unknownTokenGracePeriod { 2500 };
+    // Maximum number of flows at addresses without a route whose first packet is remembered. Further flows are
+    // forwarded without a limit in time.
+    std::size_t maxUnroutedFlows = 4096;
+    // Maximum number of withdrawn addresses that are remembered.
+    std::size_t maxWithdrawnAddresses = 16384;
     // Maximum number of unknown tokens kept; bounds the memory that forged packets can use.
     std::size_t maxUnknownTokens = 1024;
 };
@@ -30,7 +38,7 @@
 };
 
 // Routes packets by the flow token that both endpoints put into every packet. Any balancer can forward packets of an
-// open flow without per-flow state; only opening packets need a choice of target. Not thread-safe.
+// open flow without per-flow state; only opening packets need a route and a choice of target. Not thread-safe.
 class TokenRouter final : public PacketRouter {
 public:
     TokenRouter(const TokenRouterOptions&, TargetCatalogue&, FlowTracker&, TargetChooser&,
@@ -44,6 +52,8 @@
 
     // Records that the store answered a query for targets with current data.
     void recordStoreAnswer(MonotonicTime now) { m_lastAnswer = now; }
+    // Records that the routes include every change that the store had accepted at the given time.
+    void recordRoutesConfirmed(MonotonicTime at) { m_routesConfirmedAt = std::max(m_routesConfirmedAt, at); }
     // Returns the earliest time at which a current answer of the store decides whether an unknown token belongs to a
     // terminated target; nullopt if no decision is pending.
     std::optional<MonotonicTime> currentAnswerDue() const;
@@ -53,8 +63,12 @@
     const TokenRouterCounters& counters() const { return m_counters; }
 
 private:
-    Decision placeNewFlow(const PacketFields&, const Route&, MonotonicTime now);
+    Decision placeNewFlow(const PacketFields&, MonotonicTime now);
     Decision routeOpenFlow(const PacketFields&, MonotonicTime now);
+    // Returns whether a configuration has withdrawn the route of an open flow. An address without a route alone does
+    // not show that: the flow may have been opened at a balancer that has a newer configuration.
+    bool isRouteWithdrawn(const PacketFields&, MonotonicTime now);
+    void updateWithdrawnAddresses(const RouteTable& next);
     Decision routeUnknownToken(const PacketFields&, MonotonicTime now);
     Decision reset(const PacketFields&, DropReason);
     Decision drop(const PacketFields&, DropReason);
@@ -69,7 +83,16 @@
     FlowTracker& m_flows;
     TargetChooser& m_chooser;
     PlacementObserver& m_observer;
+    struct KeyHash {
+        std::size_t operator()(const FlowKey& key) const { return key.hash(); }
+    };
+
     RouteTablePointer m_routes;
+    MonotonicTime m_routesConfirmedAt;
+    // Addresses whose route was withdrawn while this balancer ran.
+    absl::flat_hash_set<ServiceAddress> m_withdrawnAddresses;
+    // Arrival time of the first packet of each open flow at an address that never had a route here.
+    absl::flat_hash_map<FlowKey, MonotonicTime, KeyHash> m_unroutedSince;
     bool m_viewCurrent = false;
     MonotonicTime m_lastAnswer;
     // Arrival time of the first packet with each unknown token.
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -50,29 +50,45 @@
 {
     if (m_routes && routes->version() <= m_routes->version())
         return;
+    updateWithdrawnAddresses(*routes);
     m_routes = std::move(routes);
 }
 
+void TokenRouter::updateWithdrawnAddresses(const RouteTable& next)
+{
+    if (!m_routes)
+        return;
+    // Flows at a forgotten address end as soon as the routes are confirmed again.
+    if (m_withdrawnAddresses.size() >= m_options.maxWithdrawnAddresses)
+        m_withdrawnAddresses.clear();
+    for (const Route& route : m_routes->routes()) {
+        if (next.find(route.address) == nullptr)
+            m_withdrawnAddresses.insert(route.address);
+    }
+    for (const Route& route : next.routes())
+        m_withdrawnAddresses.erase(route.address);
+}
+
 Decision TokenRouter::route(const PacketView& packet, MonotonicTime now)
 {
     const PacketFields& fields = packet.fields();
-    if (!m_routes)
-        return drop(fields, DropReason::StaleState);
-    const Route* route = m_routes->find(fields.key.serviceAddress());
-    if (route == nullptr)
-        return reset(fields, DropReason::UnknownAddress);
     if (fields.kind == PacketKind::Opening)
-        return placeNewFlow(fields, *route, now);
+        return placeNewFlow(fields, now);
     return routeOpenFlow(fields, now);
 }
 
-Decision TokenRouter::placeNewFlow(const PacketFields& fields, const Route& route, MonotonicTime now)
+Decision TokenRouter::placeNewFlow(const PacketFields& fields, MonotonicTime now)
 {
+    if (!m_routes)
+        return drop(fields, DropReason::StaleState);
+    const Route* route = m_routes->find(fields.key.serviceAddress());
+    if (route == nullptr)
+        return reset(fields, DropReason::UnknownAddress);
     if (fields.openingCopy > 0) {
         m_flows.recordRetransmittedOpening(fields.key, now);
         ++m_counters.retransmittedOpenings;
     }
-    const auto& targets = m_targets.targetsOf(pickService(route, fields.key));
+    const auto& targets = m_targets.targetsOf(pickService(*route, fields.key));
     const Target* target = m_chooser.choose(targets, m_flows.triedTargets(fields.key), now);
     if (target == nullptr)
         return reset(fields, DropReason::NoTarget);
@@ -88,6 +104,8 @@
 {
     if (fields.token == FlowToken())
         return drop(fields, DropReason::NoToken);
+    if (isRouteWithdrawn(fields, now))
+        return reset(fields, DropReason::UnknownAddress);
     Target* target = m_targets.find(fields.token);
     if (target == nullptr)
         return routeUnknownToken(fields, now);
@@ -100,6 +118,20 @@
     return forwardTo(*target);
 }
 
+bool TokenRouter::isRouteWithdrawn(const PacketFields& fields, MonotonicTime now)
+{
+    if (!m_routes || m_routes->find(fields.key.serviceAddress()) != nullptr)
+        return false;
+    if (m_withdrawnAddresses.contains(fields.key.serviceAddress()))
+        return true;
+    const auto found = m_unroutedSince.find(fields.key);
+    if (found != m_unroutedSince.end())
+        return m_routesConfirmedAt > found->second;
+    if (m_unroutedSince.size() < m_options.maxUnroutedFlows)
+        m_unroutedSince.emplace(fields.key, now);
+    return false;
+}
+
 Decision TokenRouter::routeUnknownToken(const PacketFields& fields, MonotonicTime now)
 {
     if (!m_viewCurrent)
@@ -148,6 +180,9 @@
     // A token may have become known, because its target was newer than this balancer's view.
     absl::erase_if(m_unknownSince,
         [&](const auto& entry) { return now - entry.second >= retention || m_targets.find(entry.first) != nullptr; });
+    absl::erase_if(m_unroutedSince, [&](const auto& entry) {
+        return now - entry.second >= retention || m_routes->find(entry.first.serviceAddress()) != nullptr;
+    });
 }
 
 } // namespace anvilwalk
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -69,6 +69,50 @@
     CHECK(isReset(harness.sendData(key, tokenOfTarget(1)), DropReason::UnknownAddress));
 }
 
+// Guards against resets of open flows at a balancer that does not have their new route yet: after another balancer has
+// stopped or started, packets of any flow may arrive here.
+TEST_CASE("TokenRouter forwards an open flow whose route it does not know yet")
+{
+    PlacementHarness harness;
+    harness.put(targetRecord(1, photoService));
+    TokenRouter router({}, harness.targets, harness.flows, harness.chooser);
+    const PacketFields fields { .key = flowKey(1, photoAddress), .token = tokenOfTarget(1), .payloadBytes = 10 };
+    const auto send
+        = [&](const PacketFields& packet) { return router.route(PacketView({}, packet), harness.clock.now()); };
+    CHECK(std::holds_alternative<ForwardToTarget>(send(fields)));
+    router.setRoutes(routeTable(1, false));
+    CHECK(std::holds_alternative<ForwardToTarget>(send(fields)));
+    // A new flow is rejected at once; nothing has run.
+    const PacketFields opening { .key = flowKey(2, photoAddress), .kind = PacketKind::Opening };
+    CHECK(isReset(send(opening), DropReason::UnknownAddress));
+    router.setRoutes(routeTable(2));
+    CHECK(std::holds_alternative<ForwardToTarget>(send(fields)));
+}
+
+// Guards against flows over a withdrawn route that never end at a balancer that started after the withdrawal.
+TEST_CASE("TokenRouter resets an open flow without a route once the store has confirmed the routes")
+{
+    PlacementHarness harness;
+    harness.put(targetRecord(1, photoService));
+    TokenRouter router({}, harness.targets, harness.flows, harness.chooser);
+    router.setRoutes(routeTable(1, false));
+    const auto send = [&](std::uint32_t flow) {
+        return router.route(
+            PacketView({}, { .key = flowKey(flow, photoAddress), .token = tokenOfTarget(1), .payloadBytes = 10 }),
+            harness.clock.now());
+    };
+    CHECK(std::holds_alternative<ForwardToTarget>(send(1)));
+    const MonotonicTime firstPacket = harness.clock.now();
+    harness.clock.advance(2s);
+    // The routes were read before the flow's first packet: a newer configuration may have added the route.
+    router.recordRoutesConfirmed(firstPacket);
+    CHECK(std::holds_alternative<ForwardToTarget>(send(1)));
+    router.recordRoutesConfirmed(firstPacket + 1ms);
+    CHECK(isReset(send(1), DropReason::UnknownAddress));
+    // Another flow may have been opened after that.
+    CHECK(std::holds_alternative<ForwardToTarget>(send(2)));
+}
+
 // Guards against clients that wait for their timeout after their target has terminated.
 TEST_CASE("TokenRouter resets a flow whose target is gone")
 {
