edge: bound the age of targets by the store's answers about routes

Cause: targets are watched with stale reads, whose age has no bound, and the age that a balancer reported for its targets counted stale answers too.

Change: the age of targets is the time since the store confirmed them. All kinds of entries share one version counter, and answers about routes are current; targets that include the version of such an answer include every change up to its time. Targets not confirmed for drain_in_force_ms (new setting) less 0.5 s are read from the store itself; a relay does so before its followers consider it too old. Watches of routes end 0.25 s before that, and the pause after changes ends by then. Heartbeats (format 2) carry the confirmed age; the separate age of current reads is gone. The bound holds whatever stale reads return, since they no longer count.

Changed: three expectations of RoutingViewTest named the absence of a due read or the fixed wait of relays; they now name the age limit and the wait that follows from it.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -76,11 +76,16 @@
     // How long an encoded view may be sent again; the age it states is too low by at most this time.
     constexpr std::chrono::milliseconds encodedViewLifetime { 200 };
 
-    // A configuration that the store accepts while all relays are cut off must still be in force within its bound.
+    // Time reserved for the read of targets that have grown too old.
+    constexpr std::chrono::milliseconds targetsReadTime { 500 };
+
+    // A change that the store accepts while all relays are cut off must still be in force within its bound.
     RoutingViewOptions viewOptions(const EdgeSettings& settings)
     {
-        return { .maxRelayAge = std::max(settings.configBound - configMargin, settings.configBound / 2),
-            .relayMargin = std::min(configMargin / 2, settings.configBound / 4),
+        const auto bound = std::min(settings.configBound, settings.drainBound);
+        return { .maxTargetsAge = std::max(settings.drainBound - targetsReadTime, settings.drainBound / 2),
+            .maxRelayAge = std::max(bound - configMargin, bound / 2),
+            .relayMargin = std::min(configMargin / 2, bound / 4),
             .startupTime = settings.heartbeatAddress ? relayStartupTime : std::chrono::milliseconds::zero() };
     }
 
@@ -105,8 +110,7 @@
     StoreFeedOptions targetFeedOptions(const EdgeSettings& settings)
     {
         StoreFeedOptions options = feedOptions(settings, "targets");
-        // Stale answers are acceptable: a target announces its end in advance, and flows are placed on a new target by
-        // the balancers that already know it.
+        // The store's answers about routes tell up to which version targets must be known (RoutingView).
         options.allowStale = true;
         return options;
     }
--- a/apps/anvilwalk-edge/EdgeSettings.h
+++ b/apps/anvilwalk-edge/EdgeSettings.h
@@ -31,7 +31,9 @@
     std::uint32_t memoryMegabytes = 256;
     // Time within which a new configuration must be in force.
     std::chrono::milliseconds configBound { 3000 };
-    // Time without faults after which configBound applies again.
+    // Time within which a target that drains must get no new flows.
+    std::chrono::milliseconds drainBound { 3000 };
+    // Time without faults after which these bounds apply again.
     std::chrono::milliseconds stableWindow { 4000 };
     // Time from the stop signal until the process is killed.
     std::chrono::milliseconds stopDeadline { 6000 };
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -9,9 +9,13 @@
     // How soon a balancer that has just started notices that it is a relay.
     constexpr Duration roleCheckInterval = std::chrono::milliseconds(100);
 
-    // A watch that waits no longer confirms the data at once.
+    // A watch that waits no longer confirms the routes at once.
     constexpr std::chrono::milliseconds minWatchWait(1);
 
+    // A watch of routes ends this long before the targets need a read of their own, so that its answer can confirm
+    // them.
+    constexpr std::chrono::milliseconds confirmationMargin(250);
+
 } // namespace
 
 RoutingView::RoutingView(const RoutingViewOptions& options, TargetCatalogue& targets, TokenRouter& router,
@@ -54,13 +58,8 @@
 void RoutingView::TargetObserver::onResponse(const StoreAnswer& answer)
 {
     FeedObserver::onResponse(answer);
-    if (!answer.currentAt) {
-        confirmedAt = m_view.m_clock.now();
-        return;
-    }
-    m_view.m_currentTargetsAt = std::max(m_view.m_currentTargetsAt, *answer.currentAt);
-    m_view.m_targets.recordStoreAnswer(m_view.m_currentTargetsAt);
-    m_view.m_router.recordStoreAnswer(m_view.m_currentTargetsAt);
+    m_view.recordTargetsConfirmed(confirmedAt);
+    m_view.confirmTargets();
 }
 
 void RoutingView::TargetObserver::onFailure(const Error& error)
@@ -106,6 +105,10 @@
 {
     FeedObserver::onResponse(answer);
     m_view.m_router.recordRoutesConfirmed(confirmedAt);
+    if (!answer.currentAt || answer.version < m_view.m_lastCurrentAnswer.version)
+        return;
+    m_view.m_lastCurrentAnswer = answer;
+    m_view.confirmTargets();
 }
 
 void RoutingView::RouteObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
@@ -123,6 +126,19 @@
     m_view.notifyChange();
 }
 
+void RoutingView::confirmTargets()
+{
+    if (m_lastCurrentAnswer.currentAt && m_targetObserver.answeredVersion >= m_lastCurrentAnswer.version)
+        recordTargetsConfirmed(*m_lastCurrentAnswer.currentAt);
+}
+
+void RoutingView::recordTargetsConfirmed(MonotonicTime at)
+{
+    m_targetObserver.confirmedAt = std::max(m_targetObserver.confirmedAt, at);
+    m_targets.recordStoreAnswer(m_targetObserver.confirmedAt);
+    m_router.recordStoreAnswer(m_targetObserver.confirmedAt);
+}
+
 bool RoutingView::needsPeerView() const
 {
     return (!m_targetObserver.inContact || !m_routeObserver.inContact) && !isConfirmedByRelay();
@@ -141,13 +157,11 @@
 
 ViewStatus RoutingView::status() const
 {
-    const MonotonicTime now = m_clock.now();
     const KnownVersions known = knownVersions();
     return { .targets = known.targets,
         .lastTargetChange = m_targets.lastChange(),
         .config = known.config,
         .targetsAge = targetsAge(),
-        .currentTargetsAge = now - m_currentTargetsAt,
         .routesAge = routesAge() };
 }
 
@@ -199,15 +213,9 @@
     m_relayTargetsAt = std::max(m_relayTargetsAt, receivedAt - status.targetsAge);
     m_relayRoutesAt = std::max(m_relayRoutesAt, receivedAt - status.routesAge);
     m_hasRelayConfirmation = true;
-    m_targetObserver.confirmedAt = std::max(m_targetObserver.confirmedAt, m_relayTargetsAt);
+    recordTargetsConfirmed(m_relayTargetsAt);
     m_routeObserver.confirmedAt = std::max(m_routeObserver.confirmedAt, m_relayRoutesAt);
     m_router.recordRoutesConfirmed(m_routeObserver.confirmedAt);
-    const MonotonicTime currentAt = receivedAt - status.currentTargetsAge;
-    if (currentAt > m_currentTargetsAt) {
-        m_currentTargetsAt = currentAt;
-        m_targets.recordStoreAnswer(currentAt);
-        m_router.recordStoreAnswer(currentAt);
-    }
     if (isConfirmedByRelay())
         m_hasStoreTargets = m_hasTargets;
     updateFreshness();
@@ -256,21 +264,26 @@
 
 std::optional<Duration> RoutingView::untilCurrentTargetsRead() const
 {
-    auto due = currentTargetsDue();
-    if (m_members.anyNeedsCurrentTargets()) {
-        const MonotonicTime next = m_currentTargetsAt + m_options.currentReadInterval;
-        due = std::min(due.value_or(next), next);
-    }
-    if (!due)
-        return std::nullopt;
-    return *due - m_clock.now();
+    const MonotonicTime confirmedAt = m_targetObserver.confirmedAt;
+    MonotonicTime due = confirmedAt + targetsAgeLimit();
+    if (const auto decisionDue = currentTargetsDue())
+        due = std::min(due, *decisionDue);
+    if (m_members.anyNeedsCurrentTargets())
+        due = std::min(due, confirmedAt + m_options.currentReadInterval);
+    return due - m_clock.now();
+}
+
+Duration RoutingView::targetsAgeLimit() const
+{
+    // Followers read the store themselves once a relay's targets are older than maxRelayAge.
+    if (m_members.role() == MemberRole::Relay)
+        return m_options.maxRelayAge - m_options.relayMargin;
+    return m_options.maxTargetsAge;
 }
 
-std::chrono::milliseconds RoutingView::maxWatchWait(const FeedObserver& feed) const
+std::chrono::milliseconds RoutingView::maxRoutesWatchWait() const
 {
-    if (m_members.role() != MemberRole::Relay)
-        return std::chrono::hours(1);
-    const MonotonicTime end = feed.confirmedAt + m_options.maxRelayAge - m_options.relayMargin;
+    const MonotonicTime end = m_routeObserver.confirmedAt + targetsAgeLimit() - confirmationMargin;
     return std::max(minWatchWait, std::chrono::floor<std::chrono::milliseconds>(end - m_clock.now()));
 }
 
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -15,6 +15,8 @@
 namespace anvilwalk {
 
 struct RoutingViewOptions {
+    // Targets that the store has not confirmed for this time are read from the store itself, not from a replica.
+    std::chrono::milliseconds maxTargetsAge { 2500 };
     // A view that a relay has confirmed at most this long ago needs no reads of the store.
     std::chrono::milliseconds maxRelayAge { 2000 };
     // Part of that time which remains for a relay's answer to arrive after its longest watch.
@@ -76,13 +78,12 @@
         void onResponse(const StoreAnswer&) override;
         void onFailure(const Error&) override;
         Duration untilNeeded() const override { return m_view.untilStoreNeeded(); }
-        std::chrono::milliseconds maxWatchWait() const override { return m_view.maxWatchWait(*this); }
         bool hasRelays() const override { return m_view.isComplete() && m_view.isFollower(); }
 
         bool inContact = false;
         // Version of the last answer.
         StoreVersion answeredVersion;
-        // The store last confirmed the data for this time.
+        // The data includes every change that the store had accepted at this time.
         MonotonicTime confirmedAt;
 
     protected:
@@ -108,6 +109,7 @@
     public:
         using FeedObserver::FeedObserver;
         void onResponse(const StoreAnswer&) override;
+        std::chrono::milliseconds maxWatchWait() const override { return m_view.maxRoutesWatchWait(); }
         void onSnapshot(const std::vector<StoreEntry>&, StoreVersion) override;
         void onChanges(const std::vector<StoreEntry>&, StoreVersion) override;
     };
@@ -124,8 +126,14 @@
     Duration relayConfirmationRemaining() const;
     // Time for which relays make reads of the store unnecessary.
     Duration untilStoreNeeded() const;
-    // Wait of a watch that ends before followers consider the data too old.
-    std::chrono::milliseconds maxWatchWait(const FeedObserver&) const;
+    // Confirms the targets if they include all changes up to the last known version of the store.
+    void confirmTargets();
+    // Records for which time the targets are confirmed, and decides what waited for that.
+    void recordTargetsConfirmed(MonotonicTime);
+    // Age of the targets at which they are read from the store itself.
+    Duration targetsAgeLimit() const;
+    // Wait of a watch of routes that ends in time to confirm the targets.
+    std::chrono::milliseconds maxRoutesWatchWait() const;
     std::optional<MonotonicTime> currentTargetsDue() const;
     std::optional<Duration> untilCurrentTargetsRead() const;
 
@@ -147,8 +155,9 @@
     MonotonicTime m_relayTargetsAt;
     MonotonicTime m_relayRoutesAt;
     bool m_hasRelayConfirmation = false;
-    // When the store last answered a read of targets that was not stale, to this balancer or a relay.
-    MonotonicTime m_currentTargetsAt;
+    // The last answer of the store about any kind of entry that was not stale. All kinds share one version counter, so
+    // targets of this version or a later one include every change up to that time.
+    StoreAnswer m_lastCurrentAnswer;
     std::uint64_t m_peerViewsApplied = 0;
     std::function<void()> m_onComplete;
     std::function<void()> m_onChange;
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -55,7 +55,8 @@
     // Whether lists and watches may be answered from a stale replica. A stale list is brought up to date with one
     // current read before it is delivered.
     bool allowStale = false;
-    // Delay after a watch that returned changes, so that changes in quick succession are fetched with one call.
+    // Delay after a watch that returned changes, so that changes in quick succession are fetched with one call. Ends
+    // early when a decision needs a current read.
     std::chrono::milliseconds changeDelay { 500 };
     // After a longer pause the store may have discarded the changes since the last watch.
     std::chrono::milliseconds maxPause { 2000 };
@@ -106,6 +107,8 @@
     void applyChanges(const StoreChanges&, std::optional<MonotonicTime> currentAt);
     boost::asio::awaitable<bool> fetchChanges();
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait, ReadFreshness);
+    // Delay after a watch that returned changes.
+    std::chrono::milliseconds pauseAfterChanges() const;
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     // Time for which the response to a watch that is not stale is current.
     MonotonicTime currentTimeOf(const StoreChanges&, MonotonicTime start, std::chrono::milliseconds wait) const;
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -173,10 +173,19 @@
         currentAt = currentTimeOf(valueOf(result), start, wait);
     applyChanges(valueOf(result), currentAt);
     if (!valueOf(result).entries.empty())
-        co_await sleepFor(m_options.changeDelay);
+        co_await sleepFor(pauseAfterChanges());
     co_return true;
 }
 
+std::chrono::milliseconds StoreFeed::pauseAfterChanges() const
+{
+    const auto untilCurrentRead = m_observer.untilCurrentRead();
+    if (!untilCurrentRead)
+        return m_options.changeDelay;
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(*untilCurrentRead);
+    return std::clamp(remaining, std::chrono::milliseconds::zero(), m_options.changeDelay);
+}
+
 MonotonicTime StoreFeed::currentTimeOf(
     const StoreChanges& changes, MonotonicTime start, std::chrono::milliseconds wait) const
 {
--- a/packages/membership/include/anvilwalk/membership/Member.h
+++ b/packages/membership/include/anvilwalk/membership/Member.h
@@ -26,9 +26,9 @@
     // Version of the last change of a target; at most the version above.
     StoreVersion lastTargetChange {};
     ConfigVersion config;
-    // Time since the store last answered a read of targets, a read of targets that was not stale, and a read of routes.
+    // Time since the store last confirmed the targets and the routes: each includes every change that the store had
+    // accepted at that time.
     Duration targetsAge { 0 };
-    Duration currentTargetsAge { 0 };
     Duration routesAge { 0 };
 
     friend bool operator==(const ViewStatus&, const ViewStatus&) = default;
--- a/packages/membership/src/MemberMessage.cpp
+++ b/packages/membership/src/MemberMessage.cpp
@@ -16,7 +16,7 @@
 
     // Incremented when the meaning of a field changes, so that balancers of different releases ignore each other's
     // messages instead of misinterpreting them.
-    constexpr unsigned formatVersion = 1;
+    constexpr unsigned formatVersion = 2;
 
     // Members are encoded as arrays and field names are short, because every member receives several messages a second.
     json encodeMember(const Member& member)
@@ -35,7 +35,7 @@
     json encodeStatus(const ViewStatus& view)
     {
         return json::array({ view.targets.value(), view.lastTargetChange.value(), view.config.value(),
-            encodeAge(view.targetsAge), encodeAge(view.currentTargetsAge), encodeAge(view.routesAge) });
+            encodeAge(view.targetsAge), encodeAge(view.routesAge) });
     }
 
     // The functions below throw if a value is missing, has the wrong type or is out of range; decodeMemberMessage
@@ -64,8 +64,7 @@
             .lastTargetChange = StoreVersion(readNumber<std::uint64_t>(value.at(1))),
             .config = ConfigVersion(readNumber<std::uint64_t>(value.at(2))),
             .targetsAge = readAge(value.at(3)),
-            .currentTargetsAge = readAge(value.at(4)),
-            .routesAge = readAge(value.at(5)) };
+            .routesAge = readAge(value.at(4)) };
     }
 
     MemberMessageKind readKind(const json& value)
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -268,6 +268,20 @@
     CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 1 });
 }
 
+// Guards against a read that comes too late for the age limit of targets because of the pause after changes.
+TEST_CASE("StoreFeed pauses after changes no longer than until a decision needs a current read")
+{
+    Fixture fixture;
+    fixture.observer.currentReadIn = 1ms;
+    fixture.reader.pages.push_back(StorePage { .entries = {}, .more = false, .version = StoreVersion(5) });
+    fixture.reader.changes.push_back(StoreChanges { .entries = { entry("a", 6) }, .version = StoreVersion(6) });
+    StoreFeed feed({ .allowStale = true, .changeDelay = std::chrono::hours(1) }, fixture.context, fixture.reader,
+        fixture.observer, fixture.clock);
+    asio::co_spawn(fixture.context, feed.run(), asio::detached);
+    fixture.context.run_for(5s);
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "watch 5", "watch 6" });
+}
+
 // Guards against data that is taken for newer than it is: a response may have been on its way for seconds.
 TEST_CASE("StoreFeed tells for which time a response is current")
 {
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -46,7 +46,8 @@
     FlowTracker flows { FlowTrackerOptions {}, scene.targets };
     TokenRouter router { TokenRouterOptions {}, scene.targets, flows, scene.chooser };
     MemberList members { MemberListOptions {}, member(9) };
-    RoutingView view { { .maxRelayAge = 4s, .relayMargin = 1s }, scene.targets, router, members, log, scene.clock };
+    RoutingView view { { .maxTargetsAge = 10s, .maxRelayAge = 4s, .relayMargin = 1s }, scene.targets, router, members,
+        log, scene.clock };
 
     void answerTargets(std::uint64_t version, const std::vector<StoreEntry>& entries)
     {
@@ -137,7 +138,8 @@
     Fixture fixture;
     fixture.answerTargets(30, { targetEntry(1, 25), targetEntry(2, 29) });
     fixture.answerRoutes(8);
-    CHECK_FALSE(fixture.view.targetObserver().untilCurrentRead());
+    // No decision is pending, but the targets must not grow older than permitted.
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(10s));
     fixture.view.targetObserver().onFailure({ .code = ErrorCode::Unavailable, .message = "down" });
     fixture.answerTargets(31, { targetEntry(1, 25) });
     // One read at the end of the grace period decides; until then stale reads will do.
@@ -151,7 +153,7 @@
     fixture.view.targetObserver().onResponse(currentAnswer(33, fixture.scene.clock));
     fixture.scene.targets.expire(fixture.scene.clock.now());
     CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Gone);
-    CHECK_FALSE(fixture.view.targetObserver().untilCurrentRead());
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(10s));
 }
 
 // Guards against routes or targets that revert to the older view of a peer.
@@ -196,11 +198,7 @@
 
 ViewStatus relayStatus(std::uint64_t targets, std::uint64_t config, Duration age)
 {
-    return { .targets = StoreVersion(targets),
-        .config = ConfigVersion(config),
-        .targetsAge = age,
-        .currentTargetsAge = age,
-        .routesAge = age };
+    return { .targets = StoreVersion(targets), .config = ConfigVersion(config), .targetsAge = age, .routesAge = age };
 }
 
 // A balancer whose data centre has relays and that has a view from one of them.
@@ -270,7 +268,9 @@
     fixture.members.handle(hub, fixture.scene.clock.now());
     REQUIRE(fixture.members.role() == MemberRole::Relay);
     CHECK(fixture.view.targetObserver().untilNeeded() <= Duration::zero());
-    CHECK(fixture.view.targetObserver().maxWatchWait() == 3s);
+    // The watch of routes ends early enough to confirm the targets, which are else read themselves.
+    CHECK(fixture.view.routeObserver().maxWatchWait() == 2750ms);
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(3s));
 }
 
 // Guards against a missed change when a follower takes over: its own last watch may have failed long ago.
@@ -319,9 +319,9 @@
     CHECK_FALSE(fixture.view.needsCurrentTargets());
     fixture.scene.clock.advance(3s);
     CHECK(fixture.view.needsCurrentTargets());
-    ViewStatus stale = relayStatus(25, 3, 0s);
-    stale.currentTargetsAge = 10s;
-    fixture.view.onRelayConfirmation(stale, fixture.scene.clock.now());
+    ViewStatus behind = relayStatus(25, 3, 0s);
+    behind.targetsAge = 10s;
+    fixture.view.onRelayConfirmation(behind, fixture.scene.clock.now());
     CHECK(std::holds_alternative<DropPacket>(send()));
     fixture.view.onRelayConfirmation(relayStatus(26, 3, 0s), fixture.scene.clock.now());
     CHECK(std::holds_alternative<ResetFlow>(send()));
@@ -344,6 +344,34 @@
     CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(1s));
 }
 
+// Guards against new flows at leaving targets: a stale answer does not make the targets younger.
+TEST_CASE("Targets are as recent as the last current answer of the store whose version they include")
+{
+    Fixture fixture;
+    FakeClock& clock = fixture.scene.clock;
+    fixture.answerTargets(30, { targetEntry(1, 25) });
+    fixture.answerRoutes(8);
+    clock.advance(2s);
+    fixture.view.routeObserver().onResponse(currentAnswer(30, clock));
+    CHECK(fixture.view.targetsAge() == 0s);
+
+    clock.advance(3s);
+    fixture.view.routeObserver().onResponse(currentAnswer(31, clock));
+    fixture.view.targetObserver().onResponse(staleAnswer(30));
+    CHECK(fixture.view.targetsAge() == 3s);
+    clock.advance(1s);
+    fixture.view.targetObserver().onResponse(staleAnswer(31));
+    CHECK(fixture.view.targetsAge() == 1s);
+    // An older answer about routes that arrives late changes nothing.
+    fixture.view.routeObserver().onResponse({ .version = StoreVersion(29), .currentAt = clock.now() });
+    CHECK(fixture.view.targetsAge() == 1s);
+
+    clock.advance(9s - 1ms);
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(1ms));
+    clock.advance(1ms);
+    CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration::zero());
+}
+
 // Guards against two calls of every balancer after a mass start: the relays are known a moment later.
 TEST_CASE("A balancer that has just read the store waits for relays before it watches")
 {
--- a/tests/membership/MemberMessageTest.cpp
+++ b/tests/membership/MemberMessageTest.cpp
@@ -28,7 +28,6 @@
             .lastTargetChange = StoreVersion(88),
             .config = ConfigVersion(7),
             .targetsAge = 1200ms,
-            .currentTargetsAge = 40s,
             .routesAge = 3ms },
         .memberCount = 47,
         .members = { member(2), member(3), member(4), member(5), member(6), member(7), member(8), member(9) } };
--- a/tests/soak/BalancerProcess.cpp
+++ b/tests/soak/BalancerProcess.cpp
@@ -52,7 +52,7 @@
         "[balancer]\nid = \"{}\"\ndata_centre = \"{}\"\n"
         "[listen]\npackets = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\npeers = \"{}\"\nheartbeats = \"{}\"\n"
         "[peers]\nseeds = [{}]\n[store]\naddress = \"{}\"\n[limits]\nmemory_mb = 64\n"
-        "[bounds]\nconfig_in_force_ms = 3000\ncalm_window_ms = 4000\nstop_seconds = 6\n",
+        "[bounds]\nconfig_in_force_ms = 3000\ndrain_in_force_ms = 3000\ncalm_window_ms = 4000\nstop_seconds = 6\n",
         name(), m_options.dataCentre, network.packets(m_options.number).toString(),
         network.ready(m_options.number).toString(), network.metrics(m_options.number).toString(),
         network.peers(m_options.number).toString(), network.heartbeats(m_options.number).toString(), seeds,
