placement: a removed entry makes its target missing, not gone

Cause: TargetCatalogue::remove took a removal for the end of a target unless a call had failed in the last 5 s or a quarter of the entries vanished in one answer. A short outage fails no call, and a few entries are no quarter. The store removes the entries of living targets too when it could not take their heartbeats.

Change: a removed target is missing, keeps its flows, and is gone once the store has confirmed the targets 2.5 s later and the entry is still missing. An announced end takes effect at once, if the target has drained for drain_in_force_ms. Works because entries of living targets are back within 2 s of the store's return, and a removal is read after that return.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -125,7 +125,7 @@
     , m_logWriter(logWriter)
     , m_clock(clock)
     , m_decisions(log, platform.packets)
-    , m_targets(TargetCatalogueOptions {}, m_decisions)
+    , m_targets({ .minDrainTime = settings.drainBound }, m_decisions)
     , m_flows({ .capacity = flowCapacityOf(settings) }, m_targets, m_decisions)
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -40,7 +40,8 @@
     Listed,
     // The entry has disappeared, possibly because of a store outage; the target may still be running.
     Missing,
-    // The target has terminated.
+    // The target has terminated: it had announced its end, or a current answer of the store after the time in which
+    // running targets restore their entries does not list it.
     Gone,
 };
 
@@ -70,6 +71,8 @@
     TargetPresence presence = TargetPresence::Listed;
     // When the target became missing or gone.
     MonotonicTime absentSince;
+    // When this balancer learned that the target drains.
+    MonotonicTime drainingSince;
     // End of the warm-up time on this balancer's clock.
     MonotonicTime coldUntil;
     // Another listed target with the same token started earlier. This target gets no new flows, because packets for the
@@ -79,13 +82,16 @@
 };
 
 struct TargetCatalogueOptions {
-    // A target whose entry was removed together with others, or after a store outage, is considered gone after this
-    // time. Running targets restore their entries within 2 s of the store's recovery.
+    // A target whose entry was removed is considered gone after this time. Running targets restore their entries within
+    // 2 s of the store's recovery.
     std::chrono::milliseconds missingGracePeriod { 2500 };
+    // A target serves for this time after it has announced its end. Only then does the removal of its entry show that
+    // it has terminated.
+    std::chrono::milliseconds minDrainTime { 3000 };
     // How long a gone target is kept, so that its flows are reset and clients need not wait for their timeout.
     std::chrono::seconds goneRetention { 70 };
-    // Removals of one batch are treated as a mass expiry caused by the store, not as terminated targets, if they reach
-    // this percentage of all entries.
+    // Removals of one batch are treated as a mass expiry caused by the store, whatever the targets have announced, if
+    // they reach this percentage of all entries.
     std::uint32_t massExpiryPercent = 25;
     // Minimum number of removals in a batch for the percentage to apply.
     std::size_t massExpiryMinimum = 3;
@@ -100,7 +106,9 @@
     void put(const TargetRecord&, StoreVersion, MonotonicTime now);
     // Records that the entry under this name is no longer valid: it cannot be parsed or is owned by another writer.
     void putInvalid(const std::string& name, StoreVersion, MonotonicTime now);
-    // Removes one batch of entries that were no longer in the store at the given version.
+    // Removes one batch of entries that were no longer in the store at the given version. The targets are missing, not
+    // gone, unless they have announced their end: the store also removes the entries of running targets, when it was
+    // not available to them.
     void remove(const std::vector<RemovedEntry>&, StoreVersion readVersion, MonotonicTime now);
     // Adopts the state of a target as another balancer has read it from the store. Ignored if it is not newer.
     void adopt(const VersionedTarget&, MonotonicTime now);
@@ -136,6 +144,7 @@
     MonotonicTime graceEndOf(const Target&) const;
     bool isGracePeriodOver(const Target&, MonotonicTime now) const;
     bool mayHaveExpired(std::size_t removed, MonotonicTime now) const;
+    bool hasAnnouncedEnd(const Target&, MonotonicTime now) const;
     void markAbsent(Target&, TargetPresence, MonotonicTime now);
     // Rebuilds the indexes by token and service if they are out of date. Done lazily, because many entries may change
     // between two packets.
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -35,6 +35,8 @@
     // A new run starts with empty statistics.
     if (!known || known->record.startedMs != record.startedMs)
         known = std::make_unique<Target>();
+    if (known->record.state != TargetState::Draining)
+        known->drainingSince = now;
     known->record = record;
     known->token = tokenOf(record.key);
     known->version = version;
@@ -58,7 +60,7 @@
 
 void TargetCatalogue::remove(const std::vector<RemovedEntry>& entries, StoreVersion readVersion, MonotonicTime now)
 {
-    const auto presence = mayHaveExpired(entries.size(), now) ? TargetPresence::Missing : TargetPresence::Gone;
+    const bool expired = mayHaveExpired(entries.size(), now);
     bool changed = false;
     for (const RemovedEntry& entry : entries) {
         const auto found = m_byName.find(entry.name);
@@ -70,7 +72,8 @@
         if (target.presence != TargetPresence::Listed)
             continue;
         target.readVersion = std::max(readVersion, entry.version);
-        markAbsent(target, presence, now);
+        const bool ended = !expired && hasAnnouncedEnd(target, now);
+        markAbsent(target, ended ? TargetPresence::Gone : TargetPresence::Missing, now);
         changed = true;
     }
     if (changed)
@@ -111,6 +114,11 @@
     return removed >= m_options.massExpiryMinimum && removed * percent >= m_byName.size() * m_options.massExpiryPercent;
 }
 
+bool TargetCatalogue::hasAnnouncedEnd(const Target& target, MonotonicTime now) const
+{
+    return target.record.state == TargetState::Draining && now - target.drainingSince >= m_options.minDrainTime;
+}
+
 void TargetCatalogue::markAbsent(Target& target, TargetPresence presence, MonotonicTime now)
 {
     target.presence = presence;
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -120,6 +120,10 @@
     for (std::uint64_t number = 1; number <= 8; ++number)
         harness.put(targetRecord(number));
     harness.remove(3);
+    CHECK(std::holds_alternative<ForwardToTarget>(harness.sendData(flowKey(1), tokenOfTarget(3))));
+    harness.clock.advance(2500ms);
+    harness.targets.recordStoreAnswer(harness.clock.now());
+    harness.targets.expire(harness.clock.now());
     CHECK(isReset(harness.sendData(flowKey(1), tokenOfTarget(3)), DropReason::TargetGone));
     // A reset is never answered with a reset.
     CHECK(isDrop(
