placement: reset a flow only for what the store confirmed after its first packet

What a caller would see: a reset of an open flow at a target that has started again under its id, from a balancer that has not heard of the new run.

Cause: a gone target and an unknown token stood for all flows with this token, also for flows that were opened at another balancer after the verdict. And outages did not count for unknown tokens, as they do for missing targets.

Change: a flow that this balancer has not forwarded before is reset only once the targets were confirmed after its first packet, and an unknown token only 2.5 s after the last outage. Flows that passed here before their target was gone are reset at once, as before.

Tests that failed before: 'TokenRouter resets a flow of a gone target only if the targets were confirmed after the flow's first packet', 'TokenRouter resets a flow with an unknown token only for an answer after its first packet and after outages'. 'A view passes on targets that have terminated recently' now expects the reset at the first confirmation.

--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -52,6 +52,7 @@
     m_view.m_log.write(
         EventKind::Store, "call_failed", logField("feed", m_feed), logField("error", std::string_view(error.message)));
     m_view.m_targets.recordStoreOutage(m_view.m_clock.now());
+    m_view.m_router.recordStoreOutage(m_view.m_clock.now());
     m_view.updateFreshness();
 }
 
@@ -136,7 +137,7 @@
 {
     m_targetObserver.confirmedAt = std::max(m_targetObserver.confirmedAt, at);
     m_targets.recordStoreAnswer(m_targetObserver.confirmedAt);
-    m_router.recordStoreAnswer(m_targetObserver.confirmedAt);
+    m_router.recordTargetsConfirmed(m_targetObserver.confirmedAt);
 }
 
 bool RoutingView::needsPeerView() const
--- a/packages/placement/include/anvilwalk/placement/FlowTracker.h
+++ b/packages/placement/include/anvilwalk/placement/FlowTracker.h
@@ -41,6 +41,8 @@
 public:
     FlowTracker(const FlowTrackerOptions&, TargetCatalogue&, PlacementObserver& = PlacementObserver::none());
 
+    // Returns whether packets of the flow were forwarded to the target with this token.
+    bool isKnown(const FlowKey&, FlowToken) const;
     // Returns the targets tried for a flow that is not open yet.
     TriedTargets triedTargets(const FlowKey&) const;
     // Records a retransmitted opening packet: the last target tried has not responded in time.
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -20,9 +20,9 @@
     // If the store answers this long after a token was first seen and the token is still unknown, its target must have
     // terminated before this balancer started.
     std::chrono::milliseconds unknownTokenGracePeriod { 2500 };
-    // Maximum number of flows at addresses without a route whose first packet is remembered. Further flows are
-    // forwarded without a limit in time.
-    std::size_t maxUnroutedFlows = 4096;
+    // Maximum number of flows whose first packet is remembered until the store has confirmed the view. Further flows
+    // are not reset.
+    std::size_t maxUnconfirmedFlows = 16384;
     // Maximum number of withdrawn addresses that are remembered.
     std::size_t maxWithdrawnAddresses = 16384;
     // Maximum number of unknown tokens kept; bounds the memory that forged packets can use.
@@ -50,10 +50,12 @@
     // Sets whether the list of targets is complete and current, so that an unknown token means a terminated target.
     void setViewCurrent(bool current) { m_viewCurrent = current; }
 
-    // Records that the store answered a query for targets with current data.
-    void recordStoreAnswer(MonotonicTime now) { m_lastAnswer = now; }
+    // Records that the targets include every change that the store had accepted at the given time.
+    void recordTargetsConfirmed(MonotonicTime at) { m_targetsConfirmedAt = std::max(m_targetsConfirmedAt, at); }
     // Records that the routes include every change that the store had accepted at the given time.
     void recordRoutesConfirmed(MonotonicTime at) { m_routesConfirmedAt = std::max(m_routesConfirmedAt, at); }
+    // Records that a call to the store failed or timed out. Running targets may be missing in its next answers.
+    void recordStoreOutage(MonotonicTime now) { m_lastOutage = now; }
     // Returns the earliest time at which a current answer of the store decides whether an unknown token belongs to a
     // terminated target; nullopt if no decision is pending.
     std::optional<MonotonicTime> currentAnswerDue() const;
@@ -72,11 +74,14 @@
     Decision routeUnknownToken(const PacketFields&, MonotonicTime now);
     Decision reset(const PacketFields&, DropReason);
     Decision drop(const PacketFields&, DropReason);
-    // Returns whether the store has answered after the token's grace period, so that its target would be known.
-    bool isConfirmedUnknown(MonotonicTime firstSeen) const
+    // End of the time in which the target of an unknown token becomes known, if it is running.
+    MonotonicTime graceEndOf(MonotonicTime firstSeen) const
     {
-        return m_lastAnswer - firstSeen >= m_options.unknownTokenGracePeriod;
+        return std::max(firstSeen, m_lastOutage) + m_options.unknownTokenGracePeriod;
     }
+    // Returns whether a view that was confirmed at the given time includes the changes that preceded a flow: its first
+    // packet arrived here before that.
+    bool includesFlow(MonotonicTime confirmedAt, const FlowKey&, MonotonicTime now);
 
     TokenRouterOptions m_options;
     TargetCatalogue& m_targets;
@@ -91,10 +96,12 @@
     MonotonicTime m_routesConfirmedAt;
     // Addresses whose route was withdrawn while this balancer ran.
     absl::flat_hash_set<ServiceAddress> m_withdrawnAddresses;
-    // Arrival time of the first packet of each open flow at an address that never had a route here.
-    absl::flat_hash_map<FlowKey, MonotonicTime, KeyHash> m_unroutedSince;
+    // Arrival time of the first packet of each open flow that the view contradicts: there is no route for its address,
+    // or its target is unknown or gone. The flow may be newer than the view.
+    absl::flat_hash_map<FlowKey, MonotonicTime, KeyHash> m_unconfirmedFlows;
     bool m_viewCurrent = false;
-    MonotonicTime m_lastAnswer;
+    MonotonicTime m_targetsConfirmedAt;
+    MonotonicTime m_lastOutage;
     // Arrival time of the first packet with each unknown token.
     absl::flat_hash_map<FlowToken, MonotonicTime> m_unknownSince;
     TokenRouterCounters m_counters;
--- a/packages/placement/src/FlowTracker.cpp
+++ b/packages/placement/src/FlowTracker.cpp
@@ -43,6 +43,12 @@
 {
 }
 
+bool FlowTracker::isKnown(const FlowKey& key, FlowToken token) const
+{
+    const auto found = m_flows.find(key);
+    return found != m_flows.end() && (found->second.token == token || found->second.tried.contains(token));
+}
+
 TriedTargets FlowTracker::triedTargets(const FlowKey& key) const
 {
     const auto found = m_flows.find(key);
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -84,6 +84,7 @@
     const Route* route = m_routes->find(fields.key.serviceAddress());
     if (route == nullptr)
         return reset(fields, DropReason::UnknownAddress);
+    m_unconfirmedFlows.erase(fields.key);
     if (fields.openingCopy > 0) {
         m_flows.recordRetransmittedOpening(fields.key, now);
         ++m_counters.retransmittedOpenings;
@@ -110,6 +111,9 @@
     if (target == nullptr)
         return routeUnknownToken(fields, now);
     if (target->presence == TargetPresence::Gone) {
+        // A flow that did not pass here before may have been opened at the target's next run.
+        if (!m_flows.isKnown(fields.key, target->token) && !includesFlow(m_targetsConfirmedAt, fields.key, now))
+            return drop(fields, DropReason::TargetGone);
         m_flows.remove(fields.key);
         return reset(fields, DropReason::TargetGone);
     }
@@ -124,11 +128,16 @@
         return false;
     if (m_withdrawnAddresses.contains(fields.key.serviceAddress()))
         return true;
-    const auto found = m_unroutedSince.find(fields.key);
-    if (found != m_unroutedSince.end())
-        return m_routesConfirmedAt > found->second;
-    if (m_unroutedSince.size() < m_options.maxUnroutedFlows)
-        m_unroutedSince.emplace(fields.key, now);
+    return includesFlow(m_routesConfirmedAt, fields.key, now);
+}
+
+bool TokenRouter::includesFlow(MonotonicTime confirmedAt, const FlowKey& key, MonotonicTime now)
+{
+    const auto found = m_unconfirmedFlows.find(key);
+    if (found != m_unconfirmedFlows.end())
+        return confirmedAt > found->second;
+    if (m_unconfirmedFlows.size() < m_options.maxUnconfirmedFlows)
+        m_unconfirmedFlows.emplace(key, now);
     return false;
 }
 
@@ -136,9 +145,10 @@
 {
     if (!m_viewCurrent)
         return drop(fields, DropReason::UnknownToken);
+    const bool flowIncluded = includesFlow(m_targetsConfirmedAt, fields.key, now);
     const auto found = m_unknownSince.find(fields.token);
     if (found != m_unknownSince.end()) {
-        if (isConfirmedUnknown(found->second))
+        if (flowIncluded && m_targetsConfirmedAt >= graceEndOf(found->second))
             return reset(fields, DropReason::UnknownToken);
     } else if (m_unknownSince.size() < m_options.maxUnknownTokens) {
         m_unknownSince.emplace(fields.token, now);
@@ -150,8 +160,8 @@
 {
     std::optional<MonotonicTime> due;
     for (const auto& [token, firstSeen] : m_unknownSince) {
-        const MonotonicTime graceEnd = firstSeen + m_options.unknownTokenGracePeriod;
-        if (!isConfirmedUnknown(firstSeen))
+        const MonotonicTime graceEnd = graceEndOf(firstSeen);
+        if (m_targetsConfirmedAt < graceEnd)
             due = std::min(due.value_or(graceEnd), graceEnd);
     }
     return due;
@@ -180,9 +190,7 @@
     // A token may have become known, because its target was newer than this balancer's view.
     absl::erase_if(m_unknownSince,
         [&](const auto& entry) { return now - entry.second >= retention || m_targets.find(entry.first) != nullptr; });
-    absl::erase_if(m_unroutedSince, [&](const auto& entry) {
-        return now - entry.second >= retention || m_routes->find(entry.first.serviceAddress()) != nullptr;
-    });
+    absl::erase_if(m_unconfirmedFlows, [&](const auto& entry) { return now - entry.second >= retention; });
 }
 
 } // namespace anvilwalk
