--- a/tests/platform/EntryDecoderTest.cpp
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -1,6 +1,7 @@
 #include <platform/EntryDecoder.h>
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -124,6 +125,20 @@
     CHECK(table->find({ .address = *Ipv4Address::parse("198.18.0.2"), .port = 443 }) == nullptr);
 }
 
+// Guards against the end of the process: a weight that is 0 after conversion leaves no service to choose from.
+TEST_CASE("decodeRoutesObject rejects a weight that is out of range")
+{
+    json object = routesObject();
+    json& weight = object["spec"]["routes"][0]["split"][0]["weight"];
+    weight = std::numeric_limits<std::uint32_t>::max();
+    CHECK(std::holds_alternative<RouteTablePointer>(valueOf(decodeRoutesObject(object)).content));
+    weight = 4'294'967'296U;
+    const auto entry = decodeRoutesObject(object);
+    REQUIRE(isOk(entry));
+    CHECK(std::holds_alternative<std::monostate>(valueOf(entry).content));
+    CHECK_FALSE(valueOf(entry).error.empty());
+}
+
 // Guards against a partially applied configuration.
 TEST_CASE("decodeRoutesObject rejects a configuration with an invalid route")
 {
