--- a/tests/platform/EntryDecoderTest.cpp
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -90,6 +90,20 @@
     checkInvalid(badName);
 }
 
+// Guards against a target that peers reject together with the whole view that holds it.
+TEST_CASE("decodeTargetObject rejects values that balancers cannot pass on to each other")
+{
+    const std::vector<std::pair<const char*, json>> values { { "service", "" }, { "zone", "" },
+        { "service", std::string(2000, 's') }, { "zone", std::string(2000, 'z') },
+        { "cold_remaining_ms", 4'294'967'296U }, { "cold_remaining_ms", std::numeric_limits<std::uint64_t>::max() },
+        { "address", "10.0.0.1:65536" }, { "slots", 4'294'967'297U } };
+    for (const auto& [name, value] : values) {
+        json changed = targetObject();
+        changed["spec"][name] = value;
+        checkInvalid(changed);
+    }
+}
+
 TEST_CASE("decodeTargetObject rejects an object without name or revision")
 {
     CHECK_FALSE(isOk(decodeTargetObject(json(3))));
