platform: decode each object of a response on its own

Cause: a response was parsed in one go. A string that is not valid UTF-8, a lone surrogate or a number out of range in one object failed the whole response, each time it was read. Very deep nesting takes memory for each level.

What cannot be decoded names no target; its name is kept as bytes, because a list continues from it.

--- a/tests/platform/ObjectApiReaderTest.cpp
+++ b/tests/platform/ObjectApiReaderTest.cpp
@@ -65,6 +65,10 @@
     Fixture next({ httpResponse("200 OK", R"({"items":[],"more":false,"as_of":9})") });
     CHECK(isOk(complete(next.context, next.reader.list("i-1a", ReadFreshness::MayBeStale))));
     CHECK(next.server.requests().at(0).find("GET /api/objects/servers?stale_ok=1&after=i-1a HTTP/1.1") == 0);
+
+    Fixture odd({ httpResponse("200 OK", R"({"items":[],"more":false,"as_of":9})") });
+    CHECK(isOk(complete(odd.context, odd.reader.list("x\xff\"", ReadFreshness::Current))));
+    CHECK(odd.server.requests().at(0).find("GET /api/objects/servers?after=x%FF%22 HTTP/1.1") == 0);
 }
 
 TEST_CASE("ObjectApiReader reads changes, including deletions")
@@ -92,6 +96,22 @@
     }
 }
 
+// Guards against one entry of another writer because of which a balancer takes no answer about targets any more.
+TEST_CASE("ObjectApiReader reads the targets beside an entry that cannot be decoded")
+{
+    for (const std::string& spec : { std::string("{\"service\":\"\xff\"}"), std::string(R"({"service":"\udcff"})"),
+             std::string(R"({"slots":1e999})"), std::string(200'000, '[') + std::string(200'000, ']') }) {
+        const std::string odd = R"({"meta":{"name":"x-0badbeef","revision":6},"spec":)" + spec + "}";
+        Fixture fixture(
+            { httpResponse("200 OK", R"({"items":[)" + targetText + "," + odd + R"(],"more":false,"as_of":8})") });
+        const auto page = complete(fixture.context, fixture.reader.list("", ReadFreshness::Current));
+        REQUIRE(isOk(page));
+        REQUIRE(valueOf(page).entries.size() == 2);
+        CHECK(std::holds_alternative<TargetRecord>(valueOf(page).entries[0].content));
+        CHECK(std::holds_alternative<std::monostate>(valueOf(page).entries[1].content));
+    }
+}
+
 // Guards against a view that an invalid response empties or fills only in part.
 TEST_CASE("ObjectApiReader returns an error for an invalid response")
 {
