--- a/tests/platform/ObjectApiReaderTest.cpp
+++ b/tests/platform/ObjectApiReaderTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <optional>
 
 using namespace anvilwalk;
@@ -103,7 +104,7 @@
              std::string(R"({"slots":1e999})"), std::string(200'000, '[') + std::string(200'000, ']') }) {
         const std::string odd = R"({"meta":{"name":"x-0badbeef","revision":6},"spec":)" + spec + "}";
         Fixture fixture(
-            { httpResponse("200 OK", R"({"items":[)" + targetText + "," + odd + R"(],"more":false,"as_of":8})") });
+            { httpResponse("200 OK", fmt::format(R"({{"items":[{},{}],"more":false,"as_of":8}})", targetText, odd)) });
         const auto page = complete(fixture.context, fixture.reader.list("", ReadFreshness::Current));
         REQUIRE(isOk(page));
         REQUIRE(valueOf(page).entries.size() == 2);
--- a/tests/platform/ResponseDecoderTest.cpp
+++ b/tests/platform/ResponseDecoderTest.cpp
@@ -48,6 +48,7 @@
 std::string changesText(const std::vector<std::string>& objects)
 {
     std::vector<std::string> events;
+    events.reserve(objects.size());
     for (const std::string& object : objects)
         events.push_back(R"({"deleted":false,"object":)" + object + "}");
     return R"({"events":[)" + joined(events) + R"(],"as_of":8})";
