edge: a watch ends early enough to replace a silent connection within the stable window

Cause: the wait of a watch added the stable window and the bound of configurations. The bounds hold again one stable window after a disturbance, so a silent connection must be noticed and replaced by then.

Change: the wait is the stable window less the timeout of a call less 0.5 s. The times that follow from the settings are in EdgeTiming, where tests check them against the bounds.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -1,6 +1,7 @@
 #include "EdgeBalancer.h"
 
 #include "EdgeMetrics.h"
+#include "EdgeTiming.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -29,17 +30,6 @@
     constexpr std::chrono::milliseconds stopCheckInterval { 100 };
     // The process exits this long before the stop deadline in any case.
     constexpr std::chrono::milliseconds stopMargin { 500 };
-    // Time reserved after the longest watch to apply a configuration.
-    constexpr std::chrono::milliseconds configMargin { 2000 };
-
-    // Limits a watch so that a dead connection is detected early enough to apply a configuration within its bound once
-    // the stable window has passed.
-    std::chrono::milliseconds watchWaitOf(const EdgeSettings& settings)
-    {
-        constexpr std::chrono::milliseconds minWait { 1000 };
-        return std::max(minWait, settings.stableWindow + settings.configBound - configMargin);
-    }
-
     // Memory per tracked flow including its table entry, rounded up.
     constexpr std::size_t trackedFlowBytes = 192;
     // Fractions (1/n) of the memory limit for the flow table and the receive buffer of the packet socket.
@@ -71,24 +61,9 @@
     // Time to find a relay and read its view once one has been found.
     constexpr std::chrono::milliseconds relayReadTime { 300 };
     constexpr std::chrono::milliseconds relayCheckInterval { 5 };
-    // Time in which balancers that start together learn of each other.
-    constexpr std::chrono::milliseconds relayStartupTime { 1500 };
     // How long an encoded view may be sent again; the age it states is too low by at most this time.
     constexpr std::chrono::milliseconds encodedViewLifetime { 200 };
 
-    // Time reserved for the read of targets that have grown too old.
-    constexpr std::chrono::milliseconds targetsReadTime { 500 };
-
-    // A change that the store accepts while all relays are cut off must still be in force within its bound.
-    RoutingViewOptions viewOptions(const EdgeSettings& settings)
-    {
-        const auto bound = std::min(settings.configBound, settings.drainBound);
-        return { .maxTargetsAge = std::max(settings.drainBound - targetsReadTime, settings.drainBound / 2),
-            .maxRelayAge = std::max(bound - configMargin, bound / 2),
-            .relayMargin = std::min(configMargin / 2, bound / 4),
-            .startupTime = settings.heartbeatAddress ? relayStartupTime : std::chrono::milliseconds::zero() };
-    }
-
     Member ownMember(const EdgeSettings& settings)
     {
         const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -130,7 +105,7 @@
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
     , m_members(MemberListOptions {}, ownMember(settings))
-    , m_view(viewOptions(settings), m_targets, m_router, m_members, log, clock)
+    , m_view(viewOptionsOf(settings), m_targets, m_router, m_members, log, clock)
     , m_packets({ .address = settings.packetAddress,
                     .clientPort = settings.packetAddress.port,
                     .receiveBufferBytes = receiveBufferBytesOf(settings) },
--- a/apps/anvilwalk-edge/main.cpp
+++ b/apps/anvilwalk-edge/main.cpp
@@ -1,5 +1,6 @@
 #include "EdgeBalancer.h"
 #include "EdgeSettings.h"
+#include "EdgeTiming.h"
 
 #include <platform/ObjectApiReader.h>
 #include <platform/PacketCodec.h>
@@ -33,11 +34,15 @@
     logOptions.balancer = settings.balancer.value();
     EventLog log(logOptions, writer, clock);
     boost::asio::io_context context(1);
-    platform::ObjectApiReader targets(
-        { .store = settings.storeAddress, .kind = platform::targetsKind, .decode = &platform::decodeTargetObject },
+    platform::ObjectApiReader targets({ .store = settings.storeAddress,
+                                          .kind = platform::targetsKind,
+                                          .decode = &platform::decodeTargetObject,
+                                          .callTimeout = storeCallTimeout },
         context);
-    platform::ObjectApiReader routes(
-        { .store = settings.storeAddress, .kind = platform::routesKind, .decode = &platform::decodeRoutesObject },
+    platform::ObjectApiReader routes({ .store = settings.storeAddress,
+                                         .kind = platform::routesKind,
+                                         .decode = &platform::decodeRoutesObject,
+                                         .callTimeout = storeCallTimeout },
         context);
     HttpPeerReader peers(HttpPeerReaderOptions {}, context);
     const auto peerList = [settingsPath, known = settings.peers]() mutable {
