tests: keep the table alive while a scenario looks at a target of it

A run with the weights printed showed the same weight as new twice, and a crash.

The check is the same.

--- a/tests/process/ControlScenariosTest.cpp
+++ b/tests/process/ControlScenariosTest.cpp
@@ -360,8 +360,8 @@
         std::set<std::uint32_t> weights;
         run.harness.runUntil(
             [&] {
-                const TableTarget* target
-                    = run.harness.newestTable()->findService(ServiceId(1))->findTarget(run.targetId(15));
+                const auto table = run.harness.newestTable();
+                const TableTarget* target = table->findService(ServiceId(1))->findTarget(run.targetId(15));
                 if (target)
                     weights.insert(target->weight);
                 return weights.contains(1000);
