placement: a flow over a route that was withdrawn and added again is not reset

A balancer that had read only of the withdrawal reset flows that were opened elsewhere after the route had been added again.

Cause: the withdrawal of a route stood for all flows at its address, also for later ones. Change: only flows that passed here while there was a route are reset at once; others are reset when the routes were confirmed after their first packet.

--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -126,7 +126,11 @@
 {
     if (!m_routes || m_routes->find(fields.key.serviceAddress()) != nullptr)
         return false;
-    if (m_withdrawnAddresses.contains(fields.key.serviceAddress()))
+    // Flows that passed here while there was a route are not newer than its withdrawal. For others, a configuration
+    // that this balancer does not have yet may have added the route again.
+    const bool isNew = !m_unconfirmedFlows.contains(fields.key);
+    if (isNew && m_withdrawnAddresses.contains(fields.key.serviceAddress())
+        && m_flows.isKnown(fields.key, fields.token))
         return true;
     return includesFlow(m_routesConfirmedAt, fields.key, now);
 }
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -89,6 +89,35 @@
     CHECK(std::holds_alternative<ForwardToTarget>(send(fields)));
 }
 
+// Guards against resets of open flows over a route that was withdrawn and added again, at a balancer that has only read
+// of the withdrawal.
+TEST_CASE("TokenRouter resets flows of a withdrawn route at once only if they passed here before")
+{
+    PlacementHarness harness;
+    harness.put(targetRecord(1, photoService));
+    const FlowKey known = flowKey(1, photoAddress);
+    const FlowKey other = flowKey(2, photoAddress);
+    const FlowToken token = tokenOfTarget(1);
+    CHECK(std::holds_alternative<ForwardToTarget>(harness.sendData(known, token)));
+    harness.router.setRoutes(routeTable(2, false));
+    CHECK(isReset(harness.sendData(known, token), DropReason::UnknownAddress));
+    CHECK(std::holds_alternative<ForwardToTarget>(harness.sendData(other, token)));
+    harness.clock.advance(100ms);
+    CHECK(std::holds_alternative<ForwardToTarget>(harness.sendData(other, token)));
+
+    SECTION("the route was added again")
+    {
+        harness.router.setRoutes(routeTable(3));
+        harness.router.recordRoutesConfirmed(harness.clock.now());
+        CHECK(std::holds_alternative<ForwardToTarget>(harness.sendData(other, token)));
+    }
+    SECTION("the route was not added again")
+    {
+        harness.router.recordRoutesConfirmed(harness.clock.now());
+        CHECK(isReset(harness.sendData(other, token), DropReason::UnknownAddress));
+    }
+}
+
 // Guards against flows over a withdrawn route that never end at a balancer that started after the withdrawal.
 TEST_CASE("TokenRouter resets an open flow without a route once the store has confirmed the routes")
 {
