edge: decisions on missing targets rest on the store's confirmations only

The age that a peer's view states does not include the view's way and may be up to 0.2 s too low; the next answer of the store carried it over into the decision whether a missing target is gone. Callers could have seen a reset of a live flow.

One name for them in the catalogue and the router; one hash functor for flows in place of two.

Test 'The age of a peer's view does not decide whether a missing target is gone' failed before.

--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -59,7 +59,8 @@
 void RoutingView::TargetObserver::onResponse(const StoreAnswer& answer)
 {
     FeedObserver::onResponse(answer);
-    m_view.recordTargetsConfirmed(confirmedAt);
+    if (answer.currentAt)
+        m_view.recordTargetsConfirmed(*answer.currentAt);
     m_view.confirmTargets();
 }
 
@@ -136,8 +137,8 @@
 void RoutingView::recordTargetsConfirmed(MonotonicTime at)
 {
     m_targetObserver.confirmedAt = std::max(m_targetObserver.confirmedAt, at);
-    m_targets.recordStoreAnswer(m_targetObserver.confirmedAt);
-    m_router.recordTargetsConfirmed(m_targetObserver.confirmedAt);
+    m_targets.recordConfirmed(at);
+    m_router.recordTargetsConfirmed(at);
 }
 
 bool RoutingView::needsPeerView() const
--- a/packages/placement/include/anvilwalk/placement/FlowTracker.h
+++ b/packages/placement/include/anvilwalk/placement/FlowTracker.h
@@ -61,10 +61,6 @@
     std::size_t size() const { return m_flows.size(); }
 
 private:
-    struct KeyHash {
-        std::size_t operator()(const FlowKey& key) const { return key.hash(); }
-    };
-
     struct Flow {
         // Token of the flow's target or, while the flow is not open, of the last target tried.
         FlowToken token;
@@ -91,7 +87,7 @@
     FlowTrackerOptions m_options;
     std::chrono::milliseconds m_idleTimeout { 15'000 };
     TargetCatalogue& m_targets;
-    absl::flat_hash_map<FlowKey, Flow, KeyHash> m_flows;
+    absl::flat_hash_map<FlowKey, Flow, FlowKeyHash> m_flows;
 };
 
 } // namespace anvilwalk
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -5,6 +5,7 @@
 #include <anvilwalk/units.h>
 
 #include <absl/container/flat_hash_map.h>
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -121,8 +122,8 @@
         m_lastOutage = now;
         m_hadOutage = true;
     }
-    // Records that the store answered a query for targets with current data.
-    void recordStoreAnswer(MonotonicTime now) { m_lastAnswer = now; }
+    // Records that the targets include every change that the store had accepted at the given time.
+    void recordConfirmed(MonotonicTime at) { m_confirmedAt = std::max(m_confirmedAt, at); }
     // Returns the earliest time at which a current answer of the store decides whether a missing target has terminated;
     // nullopt if no decision is pending.
     std::optional<MonotonicTime> currentAnswerDue() const;
@@ -161,7 +162,7 @@
     // Changes up to this version may have been discarded with their targets.
     StoreVersion m_discardedVersion;
     MonotonicTime m_lastOutage;
-    MonotonicTime m_lastAnswer;
+    MonotonicTime m_confirmedAt;
     bool m_hadOutage = false;
 };
 
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -88,17 +88,13 @@
     FlowTracker& m_flows;
     TargetChooser& m_chooser;
     PlacementObserver& m_observer;
-    struct KeyHash {
-        std::size_t operator()(const FlowKey& key) const { return key.hash(); }
-    };
-
     RouteTablePointer m_routes;
     MonotonicTime m_routesConfirmedAt;
     // Addresses whose route was withdrawn while this balancer ran.
     absl::flat_hash_set<ServiceAddress> m_withdrawnAddresses;
     // Arrival time of the first packet of each open flow that the view contradicts: there is no route for its address,
     // or its target is unknown or gone. The flow may be newer than the view.
-    absl::flat_hash_map<FlowKey, MonotonicTime, KeyHash> m_unconfirmedFlows;
+    absl::flat_hash_map<FlowKey, MonotonicTime, FlowKeyHash> m_unconfirmedFlows;
     bool m_viewCurrent = false;
     MonotonicTime m_targetsConfirmedAt;
     MonotonicTime m_lastOutage;
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -134,7 +134,7 @@
             continue;
         const MonotonicTime graceEnd = graceEndOf(*target);
         // An answer after the grace period takes effect at the next expiry pass.
-        if (m_lastAnswer < graceEnd)
+        if (m_confirmedAt < graceEnd)
             due = std::min(due.value_or(graceEnd), graceEnd);
     }
     return due;
@@ -151,7 +151,7 @@
 {
     // Only an answer after the grace period shows that the store was available in the meantime.
     const MonotonicTime graceEnd = graceEndOf(target);
-    return now >= graceEnd && m_lastAnswer >= graceEnd;
+    return now >= graceEnd && m_confirmedAt >= graceEnd;
 }
 
 void TargetCatalogue::expire(MonotonicTime now)
--- a/packages/request/include/anvilwalk/request/FlowKey.h
+++ b/packages/request/include/anvilwalk/request/FlowKey.h
@@ -2,6 +2,7 @@
 
 #include <anvilwalk/units.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -54,4 +55,9 @@
     std::uint64_t hash() const;
 };
 
+// Hash functor for containers with flows as keys.
+struct FlowKeyHash {
+    std::size_t operator()(const FlowKey& key) const { return key.hash(); }
+};
+
 } // namespace anvilwalk
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -156,6 +156,21 @@
     CHECK(fixture.view.targetObserver().untilCurrentRead() == Duration(10s));
 }
 
+// Guards against resets of live flows: the age that a peer's view states does not include its way.
+TEST_CASE("The age of a peer's view does not decide whether a missing target is gone")
+{
+    Fixture fixture;
+    fixture.answerTargets(30, { targetEntry(1, 25), targetEntry(2, 29) });
+    fixture.answerRoutes(8);
+    fixture.view.targetObserver().onFailure({ .code = ErrorCode::Unavailable, .message = "down" });
+    fixture.answerTargets(31, { targetEntry(1, 25) });
+    fixture.scene.clock.advance(5s);
+    fixture.view.onPeerView(peerView(40, 9, { 1 }), peer);
+    fixture.view.targetObserver().onResponse(staleAnswer(40));
+    fixture.scene.targets.expire(fixture.scene.clock.now());
+    CHECK(fixture.scene.targets.find(tokenOfTarget(2))->presence == TargetPresence::Missing);
+}
+
 // Guards against routes or targets that revert to the older view of a peer.
 TEST_CASE("An older view of a peer is ignored")
 {
--- a/tests/placement/TargetCatalogueTest.cpp
+++ b/tests/placement/TargetCatalogueTest.cpp
@@ -27,7 +27,7 @@
     void answerAfter(Duration time)
     {
         clock.advance(time);
-        targets.recordStoreAnswer(clock.now());
+        targets.recordConfirmed(clock.now());
         targets.expire(clock.now());
     }
     TargetPresence presence(std::uint64_t number) { return targets.find(tokenOfTarget(number))->presence; }
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -151,7 +151,7 @@
     harness.remove(3);
     CHECK(std::holds_alternative<ForwardToTarget>(harness.sendData(flowKey(1), tokenOfTarget(3))));
     harness.clock.advance(2500ms);
-    harness.targets.recordStoreAnswer(harness.clock.now());
+    harness.targets.recordConfirmed(harness.clock.now());
     harness.targets.expire(harness.clock.now());
     CHECK(isReset(harness.sendData(flowKey(1), tokenOfTarget(3)), DropReason::TargetGone));
     // A reset is never answered with a reset.
@@ -220,7 +220,7 @@
     harness.remove(3);
     harness.clock.advance(2500ms);
     const auto confirm = [&] {
-        harness.targets.recordStoreAnswer(harness.clock.now());
+        harness.targets.recordConfirmed(harness.clock.now());
         harness.router.recordTargetsConfirmed(harness.clock.now());
         harness.targets.expire(harness.clock.now());
     };
