discovery: say whose watches have an upper limit

A comment named relays only; watches of routes have the limit at every balancer since they confirm targets. Comment and a blank line, no code: tests of edge and discovery pass, format and lint of both files are clean.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -30,6 +30,7 @@
     constexpr std::chrono::milliseconds stopCheckInterval { 100 };
     // The process exits this long before the stop deadline in any case.
     constexpr std::chrono::milliseconds stopMargin { 500 };
+
     // Memory per tracked flow including its table entry, rounded up.
     constexpr std::size_t trackedFlowBytes = 192;
     // Fractions (1/n) of the memory limit for the flow table and the receive buffer of the packet socket.
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -41,7 +41,7 @@
     virtual Duration untilNeeded() const { return Duration::zero(); }
     // Version up to which other balancers have passed on all changes since the last failed call; 0 if unknown.
     virtual StoreVersion passedOnVersion() const { return {}; }
-    // Upper limit of a watch's wait, for balancers on which others rely.
+    // Upper limit of a watch's wait, for data whose age others rely on: followers, or data that this feed confirms.
     virtual std::chrono::milliseconds maxWatchWait() const { return std::chrono::hours(1); }
     // Whether other balancers are expected to pass changes on soon, so that failed calls need not be repeated quickly.
     virtual bool hasRelays() const { return false; }
