edge: evacuation of a data centre

Cause: operators empty a data centre by an entry in the store; nothing read it, so new flows went on to its targets.

Change: EvacuationFeed lists the entries with a stale read after each current answer about routes, whose version confirms the list. EvacuationView applies it to the target catalogue; TargetChooser never chooses targets of an evacuated data centre. Relays pass the list on in their heartbeats, and views for peers carry it. A balancer that follows evacuations is ready only when it knows them. On only if evacuation_in_force_ms is set. Heartbeats and views are of format 3, so balancers of both releases ignore each other and read the store during a roll.

Routes carry kind, priority, latency target and timeout, and services their warm-up limits. StoreEra packs the era of a restored store into StoreVersion. RetryBackoff is taken out of StoreFeed.

Measured: test_edge, test_discovery, test_membership, test_placement and test_platform pass.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -127,6 +127,8 @@
           })
     , m_targetFeed(targetFeedOptions(settings), context, platform.targets, m_view.targetObserver(), clock)
     , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver(), clock)
+    , m_evacuationFeed({ .seed = hashText(settings.balancer.value(), hashText("evacuations")) }, context,
+          platform.evacuations, m_view.evacuations(), clock)
     , m_peerFeed({ .self = settings.peerAddress.value_or(Ipv4Endpoint {}),
                      .seed = hashText(settings.balancer.value(), hashText("peers")) },
           context, platform.peerList, platform.peers, m_view)
@@ -138,6 +140,7 @@
     m_decisions.setView(m_view);
     m_view.onComplete([this] { m_viewTimer.cancel(); });
     m_view.onChange([this] { announceView(); });
+    m_view.evacuations().onReadDue([this] { m_evacuationFeed.wake(); });
 }
 
 Status EdgeBalancer::start()
@@ -205,6 +208,8 @@
     }
     asio::co_spawn(m_context, m_targetFeed.run(), asio::detached);
     asio::co_spawn(m_context, m_routeFeed.run(), asio::detached);
+    if (m_view.evacuations().isEnabled())
+        asio::co_spawn(m_context, m_evacuationFeed.run(), asio::detached);
 }
 
 bool EdgeBalancer::mayGetRelayView(MonotonicTime start) const
@@ -229,6 +234,8 @@
 
 void EdgeBalancer::onRelayStatus(const Member& relay, const ViewStatus& status)
 {
+    if (status.evacuations)
+        m_view.evacuations().adopt(*status.evacuations, m_clock.now());
     m_relayFeed.handleStatus(relay, status);
 }
 
@@ -249,7 +256,8 @@
     if (!m_view.isComplete())
         return HttpReply { .status = serviceUnavailable };
     const KnownVersions own = m_view.knownVersions();
-    if (own.targets <= peerVersions->targets && own.config <= peerVersions->config)
+    if (own.targets <= peerVersions->targets && own.config <= peerVersions->config
+        && m_view.evacuations().lastChange() <= peerVersions->evacuations)
         return HttpReply { .status = notModified };
     return HttpReply { .body = encodedView(*peerVersions), .contentType = "application/json" };
 }
@@ -279,7 +287,8 @@
         .logLinesLost = m_logWriter.linesLost(),
         .peerViewsApplied = m_view.peerViewsApplied(),
         .members = m_members.memberCount(),
-        .isRelay = m_members.role() == MemberRole::Relay });
+        .isRelay = m_members.role() == MemberRole::Relay,
+        .evacuatedDataCentres = m_view.evacuations().dataCentres().size() });
 }
 
 asio::awaitable<void> EdgeBalancer::forwardPackets()
--- a/apps/anvilwalk-edge/EdgeBalancer.h
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -28,6 +28,7 @@
     const PacketFormat& packets;
     StoreReader& targets;
     StoreReader& routes;
+    StoreReader& evacuations;
     PeerReader& peers;
     // Returns the current addresses of peers; called for each use.
     PeerViewFeed::PeerList peerList;
@@ -86,6 +87,7 @@
     std::unique_ptr<EdgeHttpServer> m_peerServer;
     StoreFeed m_targetFeed;
     StoreFeed m_routeFeed;
+    EvacuationFeed m_evacuationFeed;
     PeerViewFeed m_peerFeed;
     RelayFeed m_relayFeed;
     // Null if the settings have no address for heartbeats.
--- a/apps/anvilwalk-edge/EdgeMetrics.cpp
+++ b/apps/anvilwalk-edge/EdgeMetrics.cpp
@@ -106,6 +106,8 @@
         counter("peer_views_total", "Views and changes received from other balancers.", sample.peerViewsApplied),
         gauge("members", "Balancers of the data centre that this one hears from.", sample.members),
         gauge("relay", "1 if this balancer passes the store's changes on to others.", sample.isRelay ? 1 : 0),
+        gauge("evacuated_data_centres", "Data centres whose targets get no new flows.",
+            static_cast<double>(sample.evacuatedDataCentres)),
         counter("log_lines_lost_total", "Log lines that found no room.", sample.logLinesLost),
     };
     return prometheus::TextSerializer().Serialize(families);
--- a/apps/anvilwalk-edge/EdgeMetrics.h
+++ b/apps/anvilwalk-edge/EdgeMetrics.h
@@ -24,6 +24,7 @@
     // Balancers of the data centre that this one hears from, itself included.
     std::uint32_t members = 1;
     bool isRelay = false;
+    std::size_t evacuatedDataCentres = 0;
 };
 
 // Renders the metrics in the Prometheus text format (docs/OPERATIONS.md lists them).
--- a/apps/anvilwalk-edge/EdgeSettings.cpp
+++ b/apps/anvilwalk-edge/EdgeSettings.cpp
@@ -142,6 +142,8 @@
         {
             m_settings.configBound = readMilliseconds(section, "config_in_force_ms", m_settings.configBound);
             m_settings.drainBound = readMilliseconds(section, "drain_in_force_ms", m_settings.drainBound);
+            if (section.find("evacuation_in_force_ms") != nullptr)
+                m_settings.evacuationBound = readMilliseconds(section, "evacuation_in_force_ms", m_settings.drainBound);
             m_settings.stableWindow = readMilliseconds(section, "calm_window_ms", m_settings.stableWindow);
             if (const auto seconds = section.decimal("stop_seconds", 0, maxStopSeconds, "6"))
                 m_settings.stopDeadline = std::chrono::milliseconds(static_cast<std::int64_t>(*seconds * 1000));
--- a/apps/anvilwalk-edge/EdgeSettings.h
+++ b/apps/anvilwalk-edge/EdgeSettings.h
@@ -33,6 +33,9 @@
     std::chrono::milliseconds configBound { 3000 };
     // Time within which a target that drains must get no new flows.
     std::chrono::milliseconds drainBound { 3000 };
+    // Time within which targets of an evacuated data centre must get no new flows; nullopt if operators do not evacuate
+    // data centres.
+    std::optional<std::chrono::milliseconds> evacuationBound;
     // Time without faults after which these bounds apply again.
     std::chrono::milliseconds stableWindow { 4000 };
     // Time from the stop signal until the process is killed.
--- a/apps/anvilwalk-edge/EdgeTiming.cpp
+++ b/apps/anvilwalk-edge/EdgeTiming.cpp
@@ -13,6 +13,8 @@
     constexpr milliseconds minWatchWait { 500 };
     // Time reserved for the read of targets that have grown too old.
     constexpr milliseconds targetsReadTime { 500 };
+    // Time reserved for the read of evacuations that have grown too old.
+    constexpr milliseconds evacuationsReadTime { 1000 };
     // Time reserved for followers to notice that relays are silent and to read the store themselves.
     constexpr milliseconds relayMargin { 2000 };
     // Time in which balancers that start together learn of each other.
@@ -28,10 +30,16 @@
 RoutingViewOptions viewOptionsOf(const EdgeSettings& settings)
 {
     const milliseconds bound = std::min(settings.configBound, settings.drainBound);
+    EvacuationViewOptions evacuations;
+    if (settings.evacuationBound) {
+        evacuations.maxAge = std::max(*settings.evacuationBound - evacuationsReadTime, *settings.evacuationBound / 2);
+        evacuations.relayMargin = std::min(relayMargin / 2, *evacuations.maxAge / 4);
+    }
     return { .maxTargetsAge = std::max(settings.drainBound - targetsReadTime, settings.drainBound / 2),
         .maxRelayAge = std::max(bound - relayMargin, bound / 2),
         .relayMargin = std::min(relayMargin / 2, bound / 4),
-        .startupTime = settings.heartbeatAddress ? relayStartupTime : milliseconds::zero() };
+        .startupTime = settings.heartbeatAddress ? relayStartupTime : milliseconds::zero(),
+        .evacuations = evacuations };
 }
 
 } // namespace anvilwalk
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -27,9 +27,14 @@
     , m_log(log)
     , m_clock(clock)
     , m_startedAt(clock.now())
+    , m_evacuations(options.evacuations, targets, members, log, clock)
     , m_targetObserver(*this, "targets")
     , m_routeObserver(*this, "routes")
 {
+    m_evacuations.onChange([this] {
+        notifyIfComplete();
+        notifyChange();
+    });
 }
 
 void RoutingView::FeedObserver::onReachable()
@@ -111,6 +116,7 @@
         return;
     m_view.m_lastCurrentAnswer = answer;
     m_view.confirmTargets();
+    m_view.m_evacuations.recordCurrentAnswer(answer);
 }
 
 void RoutingView::RouteObserver::onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version)
@@ -143,7 +149,8 @@
 
 bool RoutingView::needsPeerView() const
 {
-    return (!m_targetObserver.inContact || !m_routeObserver.inContact) && !isConfirmedByRelay();
+    const bool inContact = m_targetObserver.inContact && m_routeObserver.inContact && m_evacuations.isKnown();
+    return !inContact && !isConfirmedByRelay();
 }
 
 ViewSnapshot RoutingView::snapshot(const KnownVersions& known) const
@@ -154,7 +161,8 @@
         .targets = std::move(changes.targets),
         .complete = changes.complete,
         .targetsVersion = targetsVersion(),
-        .targetsAge = targetsAge() };
+        .targetsAge = targetsAge(),
+        .evacuations = m_evacuations.status() };
 }
 
 ViewStatus RoutingView::status() const
@@ -164,14 +172,16 @@
         .lastTargetChange = m_targets.lastChange(),
         .config = known.config,
         .targetsAge = targetsAge(),
-        .routesAge = routesAge() };
+        .routesAge = routesAge(),
+        .evacuations = m_evacuations.status() };
 }
 
 KnownVersions RoutingView::knownVersions() const
 {
     const RouteTablePointer& routes = m_router.routes();
     return { .targets = m_hasTargets ? targetsVersion() : StoreVersion(),
-        .config = routes ? routes->version() : ConfigVersion() };
+        .config = routes ? routes->version() : ConfigVersion(),
+        .evacuations = m_evacuations.version() };
 }
 
 void RoutingView::onPeerView(const ViewSnapshot& view, const Ipv4Endpoint& peer)
@@ -181,6 +191,8 @@
         applyPeerTargets(view);
     if (view.routes && view.routes->version() > known.config)
         setRoutes(view.routes);
+    if (view.evacuations)
+        m_evacuations.adopt(*view.evacuations, m_clock.now());
     ++m_peerViewsApplied;
     notifyIfComplete();
     notifyChange();
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EvacuationView.h"
+
 #include <anvilwalk/discovery.h>
 #include <anvilwalk/eventlog.h>
 #include <anvilwalk/membership.h>
@@ -25,10 +27,11 @@
     std::chrono::milliseconds startupTime { 0 };
     // Least time between reads that are not stale for the decisions of followers.
     std::chrono::milliseconds currentReadInterval { 1000 };
+    EvacuationViewOptions evacuations {};
 };
 
-// The balancer's view of targets and routes. Applies the changes that the store or a relay reports to the target
-// catalogue and the router and logs each of them; while neither answers, applies the views of other peers.
+// The balancer's view of targets, routes and evacuations. Applies the changes that the store or a relay reports to the
+// target catalogue and the router and logs each of them; while neither answers, applies the views of other peers.
 class RoutingView final : public PeerViewObserver {
 public:
     RoutingView(const RoutingViewOptions&, TargetCatalogue&, TokenRouter&, const MemberList&, EventLog&, const Clock&);
@@ -36,8 +39,11 @@
     StoreFeedObserver& targetObserver() { return m_targetObserver; }
     StoreFeedObserver& routeObserver() { return m_routeObserver; }
 
-    // Whether both targets and routes are known.
-    bool isComplete() const { return m_hasTargets && m_router.routes() != nullptr; }
+    EvacuationView& evacuations() { return m_evacuations; }
+    const EvacuationView& evacuations() const { return m_evacuations; }
+
+    // Whether targets, routes and evacuations are known.
+    bool isComplete() const { return m_hasTargets && m_router.routes() != nullptr && m_evacuations.isKnown(); }
     // Sets a handler that is called once, when the view becomes complete.
     void onComplete(std::function<void()> handler) { m_onComplete = std::move(handler); }
     // Sets a handler that is called after each change, so that relays announce it.
@@ -145,6 +151,7 @@
     const Clock& m_clock;
     MonotonicTime m_startedAt;
     MemberRole m_loggedRole = MemberRole::Independent;
+    EvacuationView m_evacuations;
     TargetObserver m_targetObserver;
     RouteObserver m_routeObserver;
     // A full list of targets has been read, from the store or a peer.
--- a/apps/anvilwalk-edge/main.cpp
+++ b/apps/anvilwalk-edge/main.cpp
@@ -44,6 +44,11 @@
                                          .decode = &platform::decodeRoutesObject,
                                          .callTimeout = storeCallTimeout },
         context);
+    platform::ObjectApiReader evacuations({ .store = settings.storeAddress,
+                                              .kind = platform::evacuationsKind,
+                                              .decode = &platform::decodeEvacuationObject,
+                                              .callTimeout = storeCallTimeout },
+        context);
     HttpPeerReader peers(HttpPeerReaderOptions {}, context);
     const auto peerList = [settingsPath, known = settings.peers]() mutable {
         // The file may change without a SIGHUP. Errors in it are logged at the next reload.
@@ -57,6 +62,7 @@
         { .packets = packets,
             .targets = targets,
             .routes = routes,
+            .evacuations = evacuations,
             .peers = peers,
             .peerList = peerList,
             .readyPath = platform::readyPath },
--- a/packages/discovery/include/anvilwalk/discovery/PeerViewFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/PeerViewFeed.h
@@ -20,6 +20,7 @@
 struct KnownVersions {
     StoreVersion targets;
     ConfigVersion config;
+    StoreVersion evacuations {};
 
     friend bool operator==(const KnownVersions&, const KnownVersions&) = default;
 };
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <anvilwalk/discovery/RetryBackoff.h>
 #include <anvilwalk/discovery/StoreReader.h>
 #include <anvilwalk/units.h>
 
@@ -9,7 +10,6 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
-#include <pcg_random.hpp>
 #include <string>
 #include <vector>
 
@@ -121,14 +121,13 @@
     StoreReader& m_reader;
     StoreFeedObserver& m_observer;
     const Clock& m_clock;
-    pcg32 m_random;
+    RetryBackoff m_backoff;
     StoreVersion m_version;
     Listing m_listing;
     // The store has discarded the changes since the last stale list, so the next list must be current.
     bool m_listCurrent = false;
     bool m_hasSnapshot = false;
     bool m_reachable = false;
-    std::chrono::milliseconds m_retryDelay;
 };
 
 } // namespace anvilwalk
--- a/packages/discovery/include/anvilwalk/discovery/ViewSnapshot.h
+++ b/packages/discovery/include/anvilwalk/discovery/ViewSnapshot.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <anvilwalk/membership.h>
 #include <anvilwalk/placement.h>
 #include <anvilwalk/units.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +24,8 @@
     StoreVersion targetsVersion;
     // Time since the store last confirmed the targets.
     Duration targetsAge { 0 };
+    // nullopt if the sender does not know them.
+    std::optional<EvacuationStatus> evacuations {};
 };
 
 // Encodes a snapshot as JSON.
--- a/packages/discovery/src/HttpPeerReader.cpp
+++ b/packages/discovery/src/HttpPeerReader.cpp
@@ -1,5 +1,6 @@
 #include <anvilwalk/discovery/HttpPeerReader.h>
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -27,11 +28,21 @@
         return number;
     }
 
+    // Removes the text up to the next slash from a path and returns it as a number.
+    std::optional<std::uint64_t> takeNumber(std::string_view& path)
+    {
+        const std::size_t slash = std::min(path.find('/'), path.size());
+        const std::string_view text = path.substr(0, slash);
+        path.remove_prefix(std::min(slash + 1, path.size()));
+        return parseNumber(text);
+    }
+
 } // namespace
 
 std::string viewPath(const KnownVersions& known)
 {
-    return fmt::format("{}{}/{}", viewPrefix, known.targets.value(), known.config.value());
+    return fmt::format(
+        "{}{}/{}/{}", viewPrefix, known.targets.value(), known.config.value(), known.evacuations.value());
 }
 
 std::optional<KnownVersions> parseViewPath(std::string_view path)
@@ -39,14 +50,14 @@
     if (!path.starts_with(viewPrefix))
         return std::nullopt;
     path.remove_prefix(viewPrefix.size());
-    const std::size_t slash = path.find('/');
-    if (slash == std::string_view::npos)
-        return std::nullopt;
-    const auto targets = parseNumber(path.substr(0, slash));
-    const auto config = parseNumber(path.substr(slash + 1));
-    if (!targets || !config)
+    const auto targets = takeNumber(path);
+    const auto config = takeNumber(path);
+    const auto evacuations = takeNumber(path);
+    if (!targets || !config || !evacuations || !path.empty())
         return std::nullopt;
-    return KnownVersions { .targets = StoreVersion(*targets), .config = ConfigVersion(*config) };
+    return KnownVersions {
+        .targets = StoreVersion(*targets), .config = ConfigVersion(*config), .evacuations = StoreVersion(*evacuations)
+    };
 }
 
 HttpPeerReader::HttpPeerReader(const HttpPeerReaderOptions& options, asio::io_context& context)
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <utility>
 
 namespace anvilwalk {
@@ -17,8 +16,7 @@
     , m_reader(reader)
     , m_observer(observer)
     , m_clock(clock)
-    , m_random(options.seed)
-    , m_retryDelay(options.retryDelay)
+    , m_backoff(options.seed)
 {
 }
 
@@ -98,7 +96,7 @@
             handleFailure(errorOf(result));
             co_return false;
         }
-        m_retryDelay = m_options.retryDelay;
+        m_backoff.reset();
         StorePage& page = valueOf(result);
         // The first page has no predecessor.
         m_listing.version = after.empty() ? page.version : std::min(m_listing.version, page.version);
@@ -212,7 +210,7 @@
 
 void StoreFeed::handleSuccess(const StoreAnswer& answer)
 {
-    m_retryDelay = m_options.retryDelay;
+    m_backoff.reset();
     m_observer.onResponse(answer);
     if (!std::exchange(m_reachable, true))
         m_observer.onReachable();
@@ -226,12 +224,9 @@
 
 std::chrono::milliseconds StoreFeed::nextRetryDelay()
 {
-    const bool relayed = m_observer.hasRelays();
-    const auto delay = relayed ? std::max(m_retryDelay, m_options.relayedRetryDelay) : m_retryDelay;
-    m_retryDelay = std::min(delay * 2, relayed ? m_options.maxRelayedRetryDelay : m_options.maxRetryDelay);
-    // Jitter keeps balancers that failed at the same time from retrying at the same time.
-    const auto longest = static_cast<int>(delay.count());
-    return std::chrono::milliseconds(std::uniform_int_distribution<int>(longest / 2, longest)(m_random));
+    if (m_observer.hasRelays())
+        return m_backoff.next(m_options.relayedRetryDelay, m_options.maxRelayedRetryDelay);
+    return m_backoff.next(m_options.retryDelay, m_options.maxRetryDelay);
 }
 
 } // namespace anvilwalk
--- a/packages/discovery/src/ViewSnapshot.cpp
+++ b/packages/discovery/src/ViewSnapshot.cpp
@@ -15,7 +15,7 @@
 
     // Incremented when the meaning of a field changes, so that balancers of different releases reject each other's
     // views instead of misinterpreting them.
-    constexpr int formatVersion = 2;
+    constexpr int formatVersion = 3;
 
     json encodeService(const WeightedService& service)
     {
@@ -28,7 +28,17 @@
         for (const WeightedService& service : route.services)
             services.push_back(encodeService(service));
         return { { "name", route.name }, { "address", route.address.address.toString() },
-            { "port", route.address.port }, { "services", std::move(services) } };
+            { "port", route.address.port }, { "services", std::move(services) },
+            { "kind", static_cast<unsigned>(route.kind) }, { "priority", route.priority },
+            { "latency_target_ms", route.latencyTarget.count() }, { "timeout_ms", route.timeout.count() } };
+    }
+
+    json encodeWarmUpLimits(const RouteTable& table)
+    {
+        json limits = json::array();
+        for (const WarmUpLimit& limit : table.warmUpLimits())
+            limits.push_back({ { "service", limit.service.value() }, { "flows_per_second", limit.flowsPerSecond } });
+        return limits;
     }
 
     json encodeRoutes(const RouteTable& table)
@@ -37,7 +47,7 @@
         for (const Route& route : table.routes())
             routes.push_back(encodeRoute(route));
         return { { "version", table.version().value() }, { "idle_timeout_ms", table.idleTimeout().count() },
-            { "routes", std::move(routes) } };
+            { "routes", std::move(routes) }, { "warm_up_limits", encodeWarmUpLimits(table) } };
     }
 
     json encodeTarget(const VersionedTarget& target)
@@ -51,6 +61,17 @@
             { "cold_ms", record.coldRemaining.count() } };
     }
 
+    json encodeEvacuations(const std::optional<EvacuationStatus>& evacuations)
+    {
+        if (!evacuations)
+            return nullptr;
+        json names = json::array();
+        for (const DataCentreId& dataCentre : evacuations->dataCentres)
+            names.push_back(dataCentre.value());
+        return { { "version", evacuations->version.value() }, { "last_change", evacuations->lastChange.value() },
+            { "age_ms", duration_cast<milliseconds>(evacuations->age).count() }, { "data_centres", std::move(names) } };
+    }
+
     // The functions below throw if a field is missing, has the wrong type or an invalid value; decodeView converts the
     // exception into an error.
     std::uint64_t readUnsigned(const json& object, const char* name)
@@ -90,6 +111,27 @@
         return array;
     }
 
+    RouteKind readRouteKind(const json& object)
+    {
+        const std::uint64_t kind = readUnsigned(object, "kind");
+        if (kind > static_cast<std::uint64_t>(RouteKind::Download))
+            throw std::invalid_argument("unknown kind of route");
+        return static_cast<RouteKind>(kind);
+    }
+
+    std::vector<WarmUpLimit> readWarmUpLimits(const json& object)
+    {
+        std::vector<WarmUpLimit> limits;
+        for (const json& limit : readArray(object, "warm_up_limits")) {
+            const auto flowsPerSecond = limit.at("flows_per_second").get<double>();
+            if (!(flowsPerSecond > 0))
+                throw std::invalid_argument("a warm-up limit is not above 0");
+            limits.push_back(
+                { .service = ServiceName(readString(limit, "service")), .flowsPerSecond = flowsPerSecond });
+        }
+        return limits;
+    }
+
     Route readRoute(const json& object)
     {
         const auto address = Ipv4Address::parse(readString(object, "address"));
@@ -97,7 +139,11 @@
             throw std::invalid_argument("route has an invalid address");
         Route route { .name = object.at("name").get<std::string>(),
             .address = { .address = *address, .port = readNumber<std::uint16_t>(object, "port", 1) },
-            .services = {} };
+            .services = {},
+            .kind = readRouteKind(object),
+            .priority = readNumber<std::uint32_t>(object, "priority", 0),
+            .latencyTarget = readMilliseconds(object, "latency_target_ms"),
+            .timeout = readMilliseconds(object, "timeout_ms") };
         for (const json& service : readArray(object, "services"))
             route.services.push_back({ .service = ServiceName(readString(service, "name")),
                 .weight = readNumber<std::uint32_t>(service, "weight", 1) });
@@ -112,7 +158,7 @@
         for (const json& route : readArray(object, "routes"))
             routes.push_back(readRoute(route));
         return std::make_shared<const RouteTable>(ConfigVersion(readUnsigned(object, "version")), std::move(routes),
-            readMilliseconds(object, "idle_timeout_ms"));
+            readMilliseconds(object, "idle_timeout_ms"), readWarmUpLimits(object));
     }
 
     TargetPresence readPresence(const json& object)
@@ -143,6 +189,19 @@
             .presence = readPresence(object) };
     }
 
+    std::optional<EvacuationStatus> readEvacuations(const json& object)
+    {
+        if (object.is_null())
+            return std::nullopt;
+        EvacuationStatus evacuations { .version = StoreVersion(readUnsigned(object, "version")),
+            .lastChange = StoreVersion(readUnsigned(object, "last_change")),
+            .age = readMilliseconds(object, "age_ms"),
+            .dataCentres = {} };
+        for (const json& name : readArray(object, "data_centres"))
+            evacuations.dataCentres.emplace_back(name.get<std::string>());
+        return evacuations;
+    }
+
     ViewSnapshot readView(const json& object)
     {
         if (readUnsigned(object, "format") != formatVersion)
@@ -152,7 +211,8 @@
             .targets = {},
             .complete = object.at("complete").get<bool>(),
             .targetsVersion = StoreVersion(readUnsigned(object, "targets_version")),
-            .targetsAge = readMilliseconds(object, "targets_age_ms") };
+            .targetsAge = readMilliseconds(object, "targets_age_ms"),
+            .evacuations = readEvacuations(object.at("evacuations")) };
         for (const json& target : readArray(object, "targets"))
             view.targets.push_back(readTarget(target));
         return view;
@@ -168,7 +228,8 @@
     const json object = { { "format", formatVersion }, { "config", view.routes ? encodeRoutes(*view.routes) : json() },
         { "targets", std::move(targets) }, { "complete", view.complete },
         { "targets_version", view.targetsVersion.value() },
-        { "targets_age_ms", duration_cast<milliseconds>(view.targetsAge).count() } };
+        { "targets_age_ms", duration_cast<milliseconds>(view.targetsAge).count() },
+        { "evacuations", encodeEvacuations(view.evacuations) } };
     return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/packages/membership/include/anvilwalk/membership/Member.h
+++ b/packages/membership/include/anvilwalk/membership/Member.h
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace anvilwalk {
 
@@ -20,6 +22,20 @@
     friend bool operator==(const Member&, const Member&) = default;
 };
 
+// The evacuated data centres that a balancer knows: their targets get no new flows.
+struct EvacuationStatus {
+    // Version of the store at which they were listed last.
+    StoreVersion version;
+    // Version of the store at which the last change of the list was read; at most the version above.
+    StoreVersion lastChange;
+    // Time since the store last confirmed the list.
+    Duration age { 0 };
+    // In order of their names.
+    std::vector<DataCentreId> dataCentres;
+
+    friend bool operator==(const EvacuationStatus&, const EvacuationStatus&) = default;
+};
+
 // How recent a balancer's view of the store is.
 struct ViewStatus {
     StoreVersion targets;
@@ -30,6 +46,8 @@
     // accepted at that time.
     Duration targetsAge { 0 };
     Duration routesAge { 0 };
+    // nullopt if the balancer does not follow evacuations or does not know them yet.
+    std::optional<EvacuationStatus> evacuations {};
 
     friend bool operator==(const ViewStatus&, const ViewStatus&) = default;
 };
--- a/packages/membership/include/anvilwalk/membership/MemberList.h
+++ b/packages/membership/include/anvilwalk/membership/MemberList.h
@@ -78,6 +78,9 @@
     std::vector<Member> heartbeatDestinations(MonotonicTime now) const;
     // Returns the longest-running members of a data centre, at most introductionCount.
     std::vector<Member> introductionsFor(const DataCentreId&) const;
+    // Returns the members of the own data centre that have been heard of, this balancer included, longest-running
+    // first.
+    std::vector<Member> localMembers() const;
     // Returns the number of members of the own data centre that have been heard of, this balancer included.
     std::uint32_t memberCount() const;
     // Returns whether any member of the own data centre waits for a read of targets that is not stale.
--- a/packages/membership/src/MemberList.cpp
+++ b/packages/membership/src/MemberList.cpp
@@ -164,6 +164,17 @@
     return members;
 }
 
+std::vector<Member> MemberList::localMembers() const
+{
+    std::vector<Member> members { m_self };
+    for (const Entry* entry : localEntries()) {
+        if (entry->confirmed)
+            members.push_back(entry->member);
+    }
+    std::sort(members.begin(), members.end(), startedBefore);
+    return members;
+}
+
 std::uint32_t MemberList::memberCount() const
 {
     const std::vector<const Entry*> others = localEntries();
--- a/packages/membership/src/MemberMessage.cpp
+++ b/packages/membership/src/MemberMessage.cpp
@@ -16,7 +16,7 @@
 
     // Incremented when the meaning of a field changes, so that balancers of different releases ignore each other's
     // messages instead of misinterpreting them.
-    constexpr unsigned formatVersion = 2;
+    constexpr unsigned formatVersion = 3;
 
     // Members are encoded as arrays and field names are short, because every member receives several messages a second.
     json encodeMember(const Member& member)
@@ -32,10 +32,21 @@
         return std::clamp(duration_cast<milliseconds>(age), milliseconds::zero(), maxAge).count();
     }
 
+    json encodeEvacuations(const std::optional<EvacuationStatus>& evacuations)
+    {
+        if (!evacuations)
+            return nullptr;
+        json names = json::array();
+        for (const DataCentreId& dataCentre : evacuations->dataCentres)
+            names.push_back(dataCentre.value());
+        return json::array({ evacuations->version.value(), evacuations->lastChange.value(), encodeAge(evacuations->age),
+            std::move(names) });
+    }
+
     json encodeStatus(const ViewStatus& view)
     {
         return json::array({ view.targets.value(), view.lastTargetChange.value(), view.config.value(),
-            encodeAge(view.targetsAge), encodeAge(view.routesAge) });
+            encodeAge(view.targetsAge), encodeAge(view.routesAge), encodeEvacuations(view.evacuations) });
     }
 
     // The functions below throw if a value is missing, has the wrong type or is out of range; decodeMemberMessage
@@ -58,13 +69,27 @@
             .startedMs = readNumber<std::uint64_t>(value.at(4)) };
     }
 
+    std::optional<EvacuationStatus> readEvacuations(const json& value)
+    {
+        if (value.is_null())
+            return std::nullopt;
+        EvacuationStatus evacuations { .version = StoreVersion(readNumber<std::uint64_t>(value.at(0))),
+            .lastChange = StoreVersion(readNumber<std::uint64_t>(value.at(1))),
+            .age = readAge(value.at(2)),
+            .dataCentres = {} };
+        for (const json& name : value.at(3))
+            evacuations.dataCentres.emplace_back(name.get<std::string>());
+        return evacuations;
+    }
+
     ViewStatus readStatus(const json& value)
     {
         return { .targets = StoreVersion(readNumber<std::uint64_t>(value.at(0))),
             .lastTargetChange = StoreVersion(readNumber<std::uint64_t>(value.at(1))),
             .config = ConfigVersion(readNumber<std::uint64_t>(value.at(2))),
             .targetsAge = readAge(value.at(3)),
-            .routesAge = readAge(value.at(4)) };
+            .routesAge = readAge(value.at(4)),
+            .evacuations = readEvacuations(value.at(5)) };
     }
 
     MemberMessageKind readKind(const json& value)
--- a/packages/placement/include/anvilwalk/placement.h
+++ b/packages/placement/include/anvilwalk/placement.h
@@ -6,6 +6,7 @@
 #include <anvilwalk/placement/FlowTracker.h>
 #include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/RouteTable.h>
+#include <anvilwalk/placement/SharedTargetLoad.h>
 #include <anvilwalk/placement/Target.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/placement/TargetChooser.h>
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <anvilwalk/placement/PlacementObserver.h>
+#include <anvilwalk/placement/SharedTargetLoad.h>
 #include <anvilwalk/placement/Target.h>
 #include <anvilwalk/units.h>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
@@ -79,7 +81,10 @@
     // Another listed target with the same token started earlier. This target gets no new flows, because packets for the
     // two could not be distinguished.
     bool tokenCollides = false;
+    // The target's data centre is evacuated: the target keeps its flows and gets no new ones.
+    bool evacuated = false;
     TargetActivity activity;
+    SharedTargetLoad shared;
 };
 
 struct TargetCatalogueOptions {
@@ -124,6 +129,8 @@
     }
     // Records that the targets include every change that the store had accepted at the given time.
     void recordConfirmed(MonotonicTime at) { m_confirmedAt = std::max(m_confirmedAt, at); }
+    // Sets the data centres whose targets get no new flows.
+    void setEvacuated(absl::flat_hash_set<DataCentreId> dataCentres);
     // Returns the earliest time at which a current answer of the store decides whether a missing target has terminated;
     // nullopt if no decision is pending.
     std::optional<MonotonicTime> currentAnswerDue() const;
@@ -135,6 +142,11 @@
     Target* find(FlowToken);
     // Returns the listed and missing targets of a service, in the same order on all balancers.
     const std::vector<Target*>& targetsOf(const ServiceName&);
+    // Returns all targets that have not terminated.
+    const std::vector<Target*>& present();
+    // State of the load summary whose figures the targets hold.
+    const SharedLoadStatus& sharedLoad() const { return m_sharedLoad; }
+    void setSharedLoad(const SharedLoadStatus& status) { m_sharedLoad = status; }
     // Returns the targets that changed after a version, or all targets with 0, with their remaining warm-up time.
     TargetChanges changesSince(StoreVersion, MonotonicTime now) const;
     // Version of the store at which the last change was read.
@@ -159,6 +171,9 @@
     bool m_indexCurrent = true;
     absl::flat_hash_map<FlowToken, Target*> m_byToken;
     absl::flat_hash_map<ServiceName, std::vector<Target*>> m_byService;
+    std::vector<Target*> m_present;
+    SharedLoadStatus m_sharedLoad;
+    absl::flat_hash_set<DataCentreId> m_evacuated;
     // Changes up to this version may have been discarded with their targets.
     StoreVersion m_discardedVersion;
     MonotonicTime m_lastOutage;
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -1,6 +1,5 @@
 #include <anvilwalk/placement/TargetCatalogue.h>
 
-#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <utility>
 
@@ -126,6 +125,12 @@
     m_observer.onAbsent(target);
 }
 
+void TargetCatalogue::setEvacuated(absl::flat_hash_set<DataCentreId> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+    m_indexCurrent = false;
+}
+
 std::optional<MonotonicTime> TargetCatalogue::currentAnswerDue() const
 {
     std::optional<MonotonicTime> due;
@@ -191,6 +196,12 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+const std::vector<Target*>& TargetCatalogue::present()
+{
+    updateIndex();
+    return m_present;
+}
+
 TargetChanges TargetCatalogue::changesSince(StoreVersion version, MonotonicTime now) const
 {
     TargetChanges changes { .targets = {}, .complete = version == StoreVersion() || version < m_discardedVersion };
@@ -223,6 +234,7 @@
     // On a token collision a present target takes precedence over a gone one, then the one that started earlier.
     for (const auto& [name, target] : m_byName) {
         target->tokenCollides = false;
+        target->evacuated = m_evacuated.contains(target->record.dataCentre);
         auto [at, inserted] = m_byToken.emplace(target->token, target.get());
         if (inserted)
             continue;
@@ -239,9 +251,12 @@
 void TargetCatalogue::rebuildServices()
 {
     m_byService.clear();
+    m_present.clear();
     for (const auto& [name, target] : m_byName) {
-        if (target->presence != TargetPresence::Gone)
-            m_byService[target->record.service].push_back(target.get());
+        if (target->presence == TargetPresence::Gone)
+            continue;
+        m_byService[target->record.service].push_back(target.get());
+        m_present.push_back(target.get());
     }
     for (auto& [service, targets] : m_byService)
         std::sort(targets.begin(), targets.end(),
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -69,7 +69,8 @@
 
 int TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
 {
-    if (target.tokenCollides || target.record.state == TargetState::Draining || target.presence == TargetPresence::Gone)
+    if (target.tokenCollides || target.evacuated || target.record.state == TargetState::Draining
+        || target.presence == TargetPresence::Gone)
         return Unusable;
     if (tried.contains(target.token))
         return Tried;
--- a/tests/discovery/HttpPeerReaderTest.cpp
+++ b/tests/discovery/HttpPeerReaderTest.cpp
@@ -57,7 +57,7 @@
     REQUIRE(valueOf(read));
     CHECK(valueOf(read)->targetsVersion == StoreVersion(9));
     REQUIRE(requests.size() == 1);
-    CHECK(requests[0].find("GET /v1/view/4/2 HTTP/1.1") == 0);
+    CHECK(requests[0].find("GET /v1/view/4/2/0 HTTP/1.1") == 0);
 }
 
 TEST_CASE("HttpPeerReader distinguishes an unchanged view, a missing view and an invalid response")
@@ -73,8 +73,8 @@
 TEST_CASE("viewPath contains both versions and parseViewPath rejects other paths")
 {
     CHECK(parseViewPath(viewPath(known)) == known);
-    for (const char* path : { "/", "/v1/view/", "/v1/view/1", "/v1/view/1/", "/v1/view/a/2", "/v1/view/1/2/3",
-             "/v1/view/-1/2", "/v1/view/99999999999999999999/1" })
+    for (const char* path : { "/", "/v1/view/", "/v1/view/1", "/v1/view/1/", "/v1/view/1/2", "/v1/view/1/2/",
+             "/v1/view/a/2/3", "/v1/view/1/2/3/4", "/v1/view/-1/2/3", "/v1/view/99999999999999999999/1/2" })
         CHECK_FALSE(parseViewPath(path));
 }
 
--- a/tests/discovery/ViewSnapshotTest.cpp
+++ b/tests/discovery/ViewSnapshotTest.cpp
@@ -23,7 +23,11 @@
                 .presence = TargetPresence::Missing } },
         .complete = false,
         .targetsVersion = StoreVersion(50),
-        .targetsAge = 1200ms };
+        .targetsAge = 1200ms,
+        .evacuations = EvacuationStatus { .version = StoreVersion(49),
+            .lastChange = StoreVersion(45),
+            .age = 300ms,
+            .dataCentres = { DataCentreId("lima-b"), DataCentreId("lima-c") } } };
 }
 
 } // namespace
@@ -54,6 +58,35 @@
     CHECK(draining.slots == expected.slots);
     CHECK(draining.state == TargetState::Draining);
     CHECK(draining.coldRemaining == 700ms);
+    CHECK(view.evacuations == sampleView().evacuations);
+}
+
+// Guards against routes that lose their priority or limits on the way to a balancer that cannot read the store.
+TEST_CASE("A view passes on what routes carry and the warm-up limits")
+{
+    ViewSnapshot sample = sampleView();
+    const Route route { .name = "downloads",
+        .address = photoAddress,
+        .services = { { .service = photoService, .weight = 3 } },
+        .kind = RouteKind::Download,
+        .priority = 2,
+        .latencyTarget = 1500ms,
+        .timeout = 10s };
+    sample.routes = std::make_shared<const RouteTable>(ConfigVersion(7), std::vector { route }, 15s,
+        std::vector<WarmUpLimit> { { .service = photoService, .flowsPerSecond = 2.5 } });
+    const auto decoded = decodeView(encodeView(sample));
+    REQUIRE(isOk(decoded));
+    const RouteTable& routes = *valueOf(decoded).routes;
+    const Route* found = routes.find(photoAddress);
+    REQUIRE(found != nullptr);
+    CHECK(found->kind == RouteKind::Download);
+    CHECK(found->priority == 2);
+    CHECK(found->latencyTarget == 1500ms);
+    CHECK(found->timeout == 10s);
+    CHECK(routes.sharesLoad());
+    CHECK_FALSE(routes.hasPriorities());
+    REQUIRE(routes.warmUpLimits().size() == 1);
+    CHECK(routes.warmUpLimits()[0].flowsPerSecond == 2.5);
 }
 
 TEST_CASE("A view without routes is unchanged by encoding and decoding")
@@ -85,6 +118,12 @@
         INFO("target without " << name);
         CHECK_FALSE(isOk(decodeView(without.dump())));
     }
+    for (const auto& [name, value] : whole["evacuations"].items()) {
+        auto without = whole;
+        without["evacuations"].erase(name);
+        INFO("evacuations without " << name);
+        CHECK_FALSE(isOk(decodeView(without.dump())));
+    }
     for (const auto& [name, value] : whole["config"]["routes"][0].items()) {
         auto without = whole;
         without["config"]["routes"][0].erase(name);
@@ -92,7 +131,7 @@
         CHECK_FALSE(isOk(decodeView(without.dump())));
     }
     auto newer = whole;
-    newer["format"] = 3;
+    newer["format"] = 4;
     CHECK_FALSE(isOk(decodeView(newer.dump())));
     for (const char* text : { "", "{", "[]", "null", "7" })
         CHECK_FALSE(isOk(decodeView(text)));
--- a/tests/edge/EdgeSettingsTest.cpp
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -21,6 +21,7 @@
 [bounds]
 config_in_force_ms = 5000
 drain_in_force_ms = 4500
+evacuation_in_force_ms = 6000
 calm_window_ms = 4000
 stop_seconds = 2.5
 )";
@@ -56,6 +57,7 @@
     CHECK(settings.memoryMegabytes == 80);
     CHECK(settings.configBound == 5000ms);
     CHECK(settings.drainBound == 4500ms);
+    CHECK(settings.evacuationBound == 6000ms);
     CHECK(settings.stableWindow == 4000ms);
     CHECK(settings.stopDeadline == 2500ms);
 }
@@ -109,7 +111,8 @@
     CHECK(findingsOf(replaced("id = \"front-lima-a-1\"", "id = \"\"")).all().size() == 1);
     // The hint lists each key once, even if several checks read it.
     CHECK(findingsOf(validText + "colour = 1\n").all().front().hint
-        == "remove it; the keys here are config_in_force_ms, drain_in_force_ms, calm_window_ms, stop_seconds");
+        == "remove it; the keys here are config_in_force_ms, drain_in_force_ms, evacuation_in_force_ms, "
+           "calm_window_ms, stop_seconds");
     CHECK(findingsOf("[balancer\n").all().size() == 1);
     CHECK(findingsOf("balancer = 3\n").all().size() == 5);
 }
--- a/tests/edge/EdgeTimingTest.cpp
+++ b/tests/edge/EdgeTimingTest.cpp
@@ -45,3 +45,18 @@
     CHECK(viewOptionsOf(settings).maxTargetsAge == 2500ms);
     CHECK(viewOptionsOf(settings).maxRelayAge == 1500ms);
 }
+
+// Guards against new flows in an evacuated data centre beyond the bound when all relays are silent, and against reads
+// of evacuations where operators do not evacuate data centres.
+TEST_CASE("The limit on the age of evacuations leaves time to read them within the bound")
+{
+    CHECK_FALSE(viewOptionsOf(settingsWith(3000ms, 4000ms)).evacuations.maxAge);
+    for (const auto bound : { 1000ms, 3000ms, 5000ms, 6000ms, 13'000ms }) {
+        EdgeSettings settings = settingsWith(3000ms, 4000ms);
+        settings.evacuationBound = bound;
+        const EvacuationViewOptions options = viewOptionsOf(settings).evacuations;
+        REQUIRE(options.maxAge);
+        CHECK(*options.maxAge + 500ms <= bound);
+        CHECK(options.relayMargin < *options.maxAge);
+    }
+}
--- a/tests/membership/MemberMessageTest.cpp
+++ b/tests/membership/MemberMessageTest.cpp
@@ -28,7 +28,11 @@
             .lastTargetChange = StoreVersion(88),
             .config = ConfigVersion(7),
             .targetsAge = 1200ms,
-            .routesAge = 3ms },
+            .routesAge = 3ms,
+            .evacuations = EvacuationStatus { .version = StoreVersion(89),
+                .lastChange = StoreVersion(70),
+                .age = 40ms,
+                .dataCentres = { DataCentreId("lima-b"), DataCentreId("lima-c") } } },
         .memberCount = 47,
         .members = { member(2), member(3), member(4), member(5), member(6), member(7), member(8), member(9) } };
 }
--- a/tests/platform/EntryDecoderTest.cpp
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -168,3 +168,56 @@
     other["meta"]["name"] = "draft";
     CHECK(std::holds_alternative<std::monostate>(valueOf(decodeRoutesObject(other)).content));
 }
+
+TEST_CASE("decodeRoutesObject decodes what routes carry and the limits of warming targets")
+{
+    json object = routesObject();
+    json& route = object["spec"]["routes"][1];
+    route["route_type"] = "download";
+    route["priority"] = 2U;
+    route["timeout_ms"] = 10'000U;
+    route["target_latency_ms"] = 1'500U;
+    object["spec"]["services"] = json::parse(R"([{"name": "a", "cold_per_s": 0.0}, {"name": "b", "cold_per_s": 4.5}])");
+    const auto entry = decodeRoutesObject(object);
+    REQUIRE(isOk(entry));
+    const auto* routes = std::get_if<RouteTablePointer>(&valueOf(entry).content);
+    REQUIRE(routes != nullptr);
+    const Route& download = (*routes)->routes().at(1);
+    CHECK(download.kind == RouteKind::Download);
+    CHECK(download.priority == 2);
+    CHECK(download.timeout == std::chrono::milliseconds(10'000));
+    CHECK(download.latencyTarget == std::chrono::milliseconds(1'500));
+    CHECK((*routes)->sharesLoad());
+    CHECK((*routes)->hasPriorities());
+    REQUIRE((*routes)->warmUpLimits().size() == 1);
+    CHECK((*routes)->warmUpLimits()[0].service == ServiceName("b"));
+    CHECK((*routes)->warmUpLimits()[0].flowsPerSecond == 4.5);
+}
+
+// Guards against a configuration that is rejected as a whole for a field that routing does not need.
+TEST_CASE("decodeRoutesObject keeps a route whose optional fields are invalid")
+{
+    json object = routesObject();
+    object["spec"]["routes"][0]["priority"] = "high";
+    object["spec"]["routes"][0]["timeout_ms"] = -4;
+    object["spec"]["routes"][0]["route_type"] = json::array();
+    object["spec"]["services"] = "?";
+    const auto entry = decodeRoutesObject(object);
+    REQUIRE(isOk(entry));
+    const auto* routes = std::get_if<RouteTablePointer>(&valueOf(entry).content);
+    REQUIRE(routes != nullptr);
+    CHECK((*routes)->routes()[0].priority == 0);
+    CHECK((*routes)->routes()[0].timeout == std::chrono::milliseconds(0));
+    CHECK((*routes)->routes()[0].kind == RouteKind::Unknown);
+}
+
+TEST_CASE("decodeEvacuationObject accepts any content")
+{
+    for (const char* spec : { "{}", "null", "[1]", R"("?")" }) {
+        const auto entry = decodeEvacuationObject(
+            { { "meta", { { "name", "lima-a" }, { "revision", 4U } } }, { "spec", json::parse(spec) } });
+        REQUIRE(isOk(entry));
+        CHECK(valueOf(entry).name == "lima-a");
+        CHECK(valueOf(entry).error.empty());
+    }
+}
