load: balancers share what they see of targets; admission by priority

Cause: each balancer of a data centre sees a small part of a target's requests, and chooses and admits by that sample alone.

Change: package load with reports, collectors, summaries and their exchange over UDP; TargetChooser weighs the targets that the own flows load least by the room that all flows leave; AdmissionController refuses the least urgent new flows while half of the responses take longer than a quarter of the latency target. On only if the configuration has a download route; admission, if a service has routes of several priorities.

Ruled out: to tell rejections by their response time. Full targets answer a rejection after 60 to 110 ms here, as slowly as a response.

Measured: test_placement passes.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -19,6 +19,8 @@
     constexpr std::string_view metricsPath = "/metrics";
     // Interval between two expiry passes over flows, targets and tokens.
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
+    // A sender of messages that cannot be decoded usually sends one every second.
+    constexpr std::chrono::minutes malformedLogInterval { 1 };
     // Time until the fabric has withdrawn this balancer: it probes twice a second and withdraws after two failed
     // probes.
     constexpr std::chrono::milliseconds withdrawalTime { 1300 };
@@ -104,6 +106,7 @@
     , m_targets({ .minDrainTime = settings.drainBound }, m_decisions)
     , m_flows({ .capacity = flowCapacityOf(settings) }, m_targets, m_decisions)
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
+    , m_admission({ .seed = hashText(settings.balancer.value(), hashText("admission")) })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
     , m_members(MemberListOptions {}, ownMember(settings))
     , m_view(viewOptionsOf(settings), m_targets, m_router, m_members, log, clock)
@@ -138,6 +141,8 @@
     , m_viewTimer(context)
 {
     m_decisions.setView(m_view);
+    m_router.setAdmission(&m_admission);
+    m_flows.setResponseListener(&m_admission);
     m_view.onComplete([this] { m_viewTimer.cancel(); });
     m_view.onChange([this] { announceView(); });
     m_view.evacuations().onReadDue([this] { m_evacuationFeed.wake(); });
@@ -153,6 +158,8 @@
     status = startPeerServer();
     if (isOk(status))
         status = startMembership();
+    if (isOk(status))
+        status = startLoadExchange();
     if (!isOk(status))
         return status;
     // Without its metrics port the balancer still forwards packets.
@@ -198,6 +205,30 @@
     return status;
 }
 
+Status EdgeBalancer::startLoadExchange()
+{
+    if (!m_settings.loadReportAddress)
+        return std::monostate {};
+    m_loadExchange = std::make_unique<LoadExchange>(
+        LoadExchangeOptions { .address = *m_settings.loadReportAddress }, m_context, m_members, m_targets, m_clock);
+    m_loadExchange->onMalformed([this](const Error& error) { logMalformedLoadMessage(error); });
+    Status status = m_loadExchange->open();
+    if (!isOk(status))
+        return status;
+    asio::co_spawn(m_context, m_loadExchange->receive(), asio::detached);
+    asio::co_spawn(m_context, m_loadExchange->run(), asio::detached);
+    return status;
+}
+
+void EdgeBalancer::logMalformedLoadMessage(const Error& error)
+{
+    const MonotonicTime now = m_clock.now();
+    if (m_malformedLoadLoggedAt != MonotonicTime() && now - m_malformedLoadLoggedAt < malformedLogInterval)
+        return;
+    m_malformedLoadLoggedAt = now;
+    m_log.write(EventKind::Process, "load_message_malformed", logField("error", std::string_view(error.message)));
+}
+
 asio::awaitable<void> EdgeBalancer::startFeeds()
 {
     const MonotonicTime start = m_clock.now();
@@ -288,7 +319,11 @@
         .peerViewsApplied = m_view.peerViewsApplied(),
         .members = m_members.memberCount(),
         .isRelay = m_members.role() == MemberRole::Relay,
-        .evacuatedDataCentres = m_view.evacuations().dataCentres().size() });
+        .evacuatedDataCentres = m_view.evacuations().dataCentres().size(),
+        .sharedLoad = m_targets.sharedLoad(),
+        .sharedLoadAge = m_clock.now() - m_targets.sharedLoad().takenAt,
+        .loadMessages = m_loadExchange ? m_loadExchange->counters() : LoadExchangeCounters {},
+        .refusedFlows = m_admission.refused() });
 }
 
 asio::awaitable<void> EdgeBalancer::forwardPackets()
@@ -314,6 +349,8 @@
         m_targets.expire(now);
         m_router.expire(now);
         m_view.refresh();
+        if (m_loadExchange)
+            m_loadExchange->setEnabled(m_router.routes() && m_router.routes()->sharesLoad());
         m_log.flush();
     }
 }
--- a/apps/anvilwalk-edge/EdgeBalancer.h
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -9,6 +9,7 @@
 
 #include <anvilwalk/discovery.h>
 #include <anvilwalk/eventlog.h>
+#include <anvilwalk/load.h>
 #include <anvilwalk/membership.h>
 #include <anvilwalk/placement.h>
 
@@ -60,6 +61,9 @@
     bool isReady() const { return !m_stopping && m_view.isComplete(); }
     Status startPeerServer();
     Status startMembership();
+    Status startLoadExchange();
+    // Logs a load message that cannot be decoded, at most one in a minute.
+    void logMalformedLoadMessage(const Error&);
     std::optional<HttpReply> handlePeerRequest(std::string_view path);
     // Returns the encoded view for a peer. Peers that start together ask for the same view, so the last one is kept.
     std::string encodedView(const KnownVersions& peerVersions);
@@ -77,6 +81,7 @@
     TargetCatalogue m_targets;
     FlowTracker m_flows;
     TargetChooser m_chooser;
+    AdmissionController m_admission;
     TokenRouter m_router;
     MemberList m_members;
     RoutingView m_view;
@@ -92,6 +97,9 @@
     RelayFeed m_relayFeed;
     // Null if the settings have no address for heartbeats.
     std::unique_ptr<Membership> m_membership;
+    // Null if the settings have no address for load reports.
+    std::unique_ptr<LoadExchange> m_loadExchange;
+    MonotonicTime m_malformedLoadLoggedAt;
     PeerViewFeed::PeerList m_seeds;
     struct EncodedView {
         KnownVersions since;
--- a/apps/anvilwalk-edge/EdgeMetrics.cpp
+++ b/apps/anvilwalk-edge/EdgeMetrics.cpp
@@ -108,6 +108,14 @@
         gauge("relay", "1 if this balancer passes the store's changes on to others.", sample.isRelay ? 1 : 0),
         gauge("evacuated_data_centres", "Data centres whose targets get no new flows.",
             static_cast<double>(sample.evacuatedDataCentres)),
+        gauge("shared_load_balancers", "Balancers that the load summary in use covers; 0 if there is none.",
+            sample.sharedLoad.fresh ? sample.sharedLoad.balancers : 0),
+        gauge("shared_load_age_seconds", "Age of the reports in the load summary in use; 0 if there is none.",
+            sample.sharedLoad.fresh ? toSeconds(sample.sharedLoadAge) : 0),
+        counter("load_messages_received_total", "Load reports and summaries received.", sample.loadMessages.received),
+        counter("load_messages_malformed_total", "Load messages that are not valid.", sample.loadMessages.malformed),
+        counter("load_bytes_sent_total", "Bytes of load reports and summaries sent.", sample.loadMessages.bytesSent),
+        counter("refused_flows_total", "New flows refused because their service lacks room.", sample.refusedFlows),
         counter("log_lines_lost_total", "Log lines that found no room.", sample.logLinesLost),
     };
     return prometheus::TextSerializer().Serialize(families);
--- a/apps/anvilwalk-edge/EdgeMetrics.h
+++ b/apps/anvilwalk-edge/EdgeMetrics.h
@@ -3,6 +3,7 @@
 #include "PacketLoop.h"
 #include "ResponseHistogram.h"
 
+#include <anvilwalk/load.h>
 #include <anvilwalk/placement.h>
 
 #include <string>
@@ -25,6 +26,11 @@
     std::uint32_t members = 1;
     bool isRelay = false;
     std::size_t evacuatedDataCentres = 0;
+    SharedLoadStatus sharedLoad {};
+    Duration sharedLoadAge { 0 };
+    LoadExchangeCounters loadMessages {};
+    // New flows that admission control refused.
+    std::uint64_t refusedFlows = 0;
 };
 
 // Renders the metrics in the Prometheus text format (docs/OPERATIONS.md lists them).
--- a/apps/anvilwalk-edge/EdgeSettings.cpp
+++ b/apps/anvilwalk-edge/EdgeSettings.cpp
@@ -100,6 +100,7 @@
             if (section.find("peers") != nullptr)
                 m_settings.peerAddress = readEndpoint(section, "peers");
             readHeartbeats(section);
+            readLoadReports(section);
         }
 
         void readHeartbeats(TomlTableReader& section)
@@ -112,6 +113,17 @@
                 section.add(*node, "heartbeats is set without peers", "set peers as well, or remove heartbeats");
         }
 
+        void readLoadReports(TomlTableReader& section)
+        {
+            const toml::node* node = section.find("load_reports");
+            if (node == nullptr)
+                return;
+            m_settings.loadReportAddress = readEndpoint(section, "load_reports");
+            if (!m_settings.heartbeatAddress)
+                section.add(
+                    *node, "load_reports is set without heartbeats", "set heartbeats as well, or remove load_reports");
+        }
+
         void readStore(TomlTableReader& section) { m_settings.storeAddress = readEndpoint(section, "address"); }
 
         void readPeers(TomlTableReader& section)
--- a/apps/anvilwalk-edge/EdgeSettings.h
+++ b/apps/anvilwalk-edge/EdgeSettings.h
@@ -26,6 +26,8 @@
     // Address for heartbeats of the balancers of a data centre; nullopt disables them, and this balancer follows the
     // store itself. Needs a peerAddress.
     std::optional<Ipv4Endpoint> heartbeatAddress;
+    // Address for load reports of the balancers of a data centre; nullopt disables them. Needs a heartbeatAddress.
+    std::optional<Ipv4Endpoint> loadReportAddress;
     // Addresses at which other balancers serve their views. Incomplete and possibly stale.
     std::vector<Ipv4Endpoint> peers;
     std::uint32_t memoryMegabytes = 256;
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -350,7 +350,9 @@
 {
     m_router.setRoutes(routes);
     m_log.write(EventKind::Routes, "in_force", logField("config_version", m_router.routes()->version().value()),
-        logField("routes", m_router.routes()->routes().size()));
+        logField("routes", m_router.routes()->routes().size()),
+        logField("shared_load", m_router.routes()->sharesLoad()),
+        logField("warm_up_limits", m_router.routes()->warmUpLimits().size()));
 }
 
 void RoutingView::notifyIfComplete()
--- a/packages/placement/include/anvilwalk/placement.h
+++ b/packages/placement/include/anvilwalk/placement.h
@@ -3,6 +3,7 @@
 // Public header of the placement package: target selection for new flows, and stateless forwarding of open flows by
 // the token that every packet carries.
 
+#include <anvilwalk/placement/AdmissionController.h>
 #include <anvilwalk/placement/FlowTracker.h>
 #include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/RouteTable.h>
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -30,6 +30,9 @@
     // Moving average of the time from a request to the acknowledgement of its response; 0 until the first sample.
     Duration responseTime { 0 };
     MonotonicTime lastResponse;
+    // Number of responses and sum of their times since the start.
+    std::uint64_t responses = 0;
+    Duration responseTimeSum { 0 };
 };
 
 // An entry that was removed from the store, with the version of its last content or a later one.
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <anvilwalk/placement/AdmissionController.h>
 #include <anvilwalk/placement/FlowTracker.h>
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
@@ -44,6 +45,8 @@
     TokenRouter(const TokenRouterOptions&, TargetCatalogue&, FlowTracker&, TargetChooser&,
         PlacementObserver& = PlacementObserver::none());
 
+    // Sets what decides on new flows besides the choice of a target; null for nothing.
+    void setAdmission(AdmissionController* admission) { m_admission = admission; }
     // Applies a route table. Ignored if its version is not newer than the current one.
     void setRoutes(RouteTablePointer);
     const RouteTablePointer& routes() const { return m_routes; }
@@ -88,6 +91,7 @@
     FlowTracker& m_flows;
     TargetChooser& m_chooser;
     PlacementObserver& m_observer;
+    AdmissionController* m_admission = nullptr;
     RouteTablePointer m_routes;
     MonotonicTime m_routesConfirmedAt;
     // Addresses whose route was withdrawn while this balancer ran.
--- a/packages/placement/src/FlowTracker.cpp
+++ b/packages/placement/src/FlowTracker.cpp
@@ -141,6 +141,8 @@
 void FlowTracker::addSample(Target& target, Duration sample, MonotonicTime now)
 {
     TargetActivity& activity = target.activity;
+    ++activity.responses;
+    activity.responseTimeSum += sample;
     if (activity.responseTime == Duration::zero())
         activity.responseTime = sample;
     else
@@ -148,6 +150,8 @@
     activity.lastResponse = now;
     recordAnswer(target);
     m_observer.onResponse(target, sample);
+    if (m_listener != nullptr)
+        m_listener->onResponse(target.record.service, sample);
 }
 
 void FlowTracker::recordUnanswered(Target& target, const FlowKey& key, std::uint32_t weight, MonotonicTime now)
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -1,6 +1,7 @@
 #include <anvilwalk/placement/TargetChooser.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <random>
 
@@ -29,6 +30,17 @@
         return activity.responseTime > Duration::zero() && now - activity.lastResponse < maxAge;
     }
 
+    // Response time of the fastest tenth, which is not that of a single lucky measurement; 0 if there is none.
+    Duration lowQuantile(std::vector<Duration>& times)
+    {
+        constexpr std::size_t fraction = 10;
+        if (times.empty())
+            return Duration::zero();
+        const auto at = times.begin() + static_cast<std::ptrdiff_t>(times.size() / fraction);
+        std::nth_element(times.begin(), at, times.end());
+        return *at;
+    }
+
 } // namespace
 
 TargetChooser::TargetChooser(const TargetChooserOptions& options)
@@ -37,7 +49,16 @@
 {
 }
 
-Target* TargetChooser::choose(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
+Target* TargetChooser::choose(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now,
+    const SharedLoadStatus& sharedLoad)
+{
+    if (!sharedLoad.fresh)
+        return chooseLeastLoaded(targets, tried, now);
+    return chooseByRoom(targets, tried, now, sharedLoad);
+}
+
+Target* TargetChooser::chooseLeastLoaded(
+    const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
 {
     Duration fastest = Duration::max();
     for (const Target* target : targets) {
@@ -67,6 +88,110 @@
     return best;
 }
 
+Target* TargetChooser::chooseByRoom(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now,
+    const SharedLoadStatus& sharedLoad)
+{
+    collectCandidates(targets, tried, now);
+    if (m_candidates.empty())
+        return nullptr;
+    const double openingsPerSecond = recordOpening(m_candidates.front().target->record.service, now);
+    const double age = std::chrono::duration<double>(now - sharedLoad.takenAt).count();
+    const double othersOpenings = openingsPerSecond * age * (sharedLoad.balancers - 1);
+    const double level = fillLevel(othersOpenings + 1);
+    double leastOwnLoad = std::numeric_limits<double>::max();
+    for (const Candidate& candidate : m_candidates)
+        leastOwnLoad = std::min(leastOwnLoad, candidate.ownLoad);
+    const double maxOwnLoad = leastOwnLoad * (1 + m_options.ownLoadTolerance);
+    std::erase_if(m_candidates, [=](const Candidate& candidate) { return candidate.ownLoad > maxOwnLoad; });
+    return pickByRoom(level);
+}
+
+Target* TargetChooser::pickByRoom(double level)
+{
+    double room = 0;
+    for (const Candidate& candidate : m_candidates)
+        room += std::max(level - candidate.load, 0.0) * candidate.capacity;
+    double position = std::uniform_real_distribution<double>(0, room)(m_random);
+    for (const Candidate& candidate : m_candidates) {
+        position -= std::max(level - candidate.load, 0.0) * candidate.capacity;
+        if (position < 0)
+            return candidate.target;
+    }
+    // None has room: the least loaded one.
+    return m_candidates.front().target;
+}
+
+void TargetChooser::collectCandidates(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
+{
+    m_candidates.clear();
+    m_responseTimes.clear();
+    int bestRank = Unusable;
+    for (Target* target : targets) {
+        if (target->shared.responseTime > Duration::zero())
+            m_responseTimes.push_back(target->shared.responseTime);
+        const int rank = rankOf(*target, tried, now);
+        if (rank == Unusable || rank > bestRank)
+            continue;
+        if (rank < bestRank)
+            m_candidates.clear();
+        bestRank = rank;
+        m_candidates.push_back({ .target = target });
+    }
+    const Duration usual = lowQuantile(m_responseTimes);
+    for (Candidate& candidate : m_candidates) {
+        const Target& target = *candidate.target;
+        const double ownBusy = target.activity.requestsInProgress + target.activity.pendingOpenings;
+        const double busy = ownBusy + target.shared.requestsInProgress;
+        const double ownIdle = std::max(target.activity.openFlows - ownBusy, 0.0);
+        const double idle = std::max(target.activity.openFlows + target.shared.openFlows - busy, 0.0);
+        candidate.capacity = std::max<std::uint32_t>(target.record.slots, 1) / sharedSlowdownOf(target, usual, now);
+        candidate.ownLoad = (ownBusy + 1 + ownIdle * m_options.idleFlowLoad) / candidate.capacity;
+        candidate.load = (busy + idle * m_options.idleFlowLoad) / candidate.capacity;
+        if (target.record.dataCentre != m_options.dataCentre) {
+            candidate.ownLoad += m_options.remotePenalty;
+            candidate.load += m_options.remotePenalty;
+        }
+    }
+    std::sort(m_candidates.begin(), m_candidates.end(),
+        [](const Candidate& a, const Candidate& b) { return a.load < b.load; });
+}
+
+double TargetChooser::fillLevel(double requests) const
+{
+    double level = m_candidates.front().load;
+    double capacity = 0;
+    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+        capacity += m_candidates[index].capacity;
+        const bool last = index + 1 == m_candidates.size();
+        const double next = last ? std::numeric_limits<double>::max() : m_candidates[index + 1].load;
+        // The candidates so far fill up to the load of the next one, unless there are too few requests.
+        const double needed = last ? requests : (next - level) * capacity;
+        if (needed >= requests)
+            return level + requests / capacity;
+        requests -= needed;
+        level = next;
+    }
+    return level;
+}
+
+double TargetChooser::sharedSlowdownOf(const Target& target, Duration usual, MonotonicTime now) const
+{
+    const Duration time = target.shared.responseTime;
+    if (time > Duration::zero() && usual > Duration::zero())
+        return std::clamp(
+            static_cast<double>(time.count()) / static_cast<double>(usual.count()), 1.0, m_options.maxSlowdown);
+    return now < target.coldUntil ? m_options.coldFactor : 1;
+}
+
+double TargetChooser::recordOpening(const ServiceName& service, MonotonicTime now)
+{
+    OpeningRate& rate = m_openingRates[service];
+    const double elapsed = std::chrono::duration<double>(now - rate.updatedAt) / m_options.openingRateTime;
+    rate.count = rate.count * std::exp(-elapsed) + 1;
+    rate.updatedAt = now;
+    return rate.count / std::chrono::duration<double>(m_options.openingRateTime).count();
+}
+
 int TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
 {
     if (target.tokenCollides || target.evacuated || target.record.state == TargetState::Draining
@@ -74,11 +199,18 @@
         return Unusable;
     if (tried.contains(target.token))
         return Tried;
-    if (target.presence == TargetPresence::Missing || isBackedOff(target, now))
+    if (target.presence == TargetPresence::Missing || isBackedOff(target, now) || isSilentForOthers(target))
         return Degraded;
     return Responsive;
 }
 
+bool TargetChooser::isSilentForOthers(const Target& target) const
+{
+    const SharedTargetLoad& shared = target.shared;
+    return shared.unansweredBalancers >= m_options.minUnansweredBalancers
+        && shared.unansweredBalancers > shared.answeredBalancers;
+}
+
 bool TargetChooser::isBackedOff(const Target& target, MonotonicTime now) const
 {
     const TargetActivity& activity = target.activity;
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -52,6 +52,8 @@
         return;
     updateWithdrawnAddresses(*routes);
     m_routes = std::move(routes);
+    if (m_admission != nullptr)
+        m_admission->setRoutes(*m_routes);
 }
 
 void TokenRouter::updateWithdrawnAddresses(const RouteTable& next)
@@ -89,8 +91,14 @@
         m_flows.recordRetransmittedOpening(fields.key, now);
         ++m_counters.retransmittedOpenings;
     }
-    const auto& targets = m_targets.targetsOf(pickService(*route, fields.key));
-    const Target* target = m_chooser.choose(targets, m_flows.triedTargets(fields.key), now);
+    const ServiceName& service = pickService(*route, fields.key);
+    const auto& targets = m_targets.targetsOf(service);
+    const TriedTargets tried = m_flows.triedTargets(fields.key);
+    // A target may have accepted the flow of a copy that was forwarded before.
+    const bool isNew = tried.count == 0 && fields.openingCopy == 0;
+    if (isNew && m_admission != nullptr && !m_admission->admit(*route, service, now))
+        return reset(fields, DropReason::NewFlowLimit);
+    const Target* target = m_chooser.choose(targets, tried, now, m_targets.sharedLoad());
     if (target == nullptr)
         return reset(fields, DropReason::NoTarget);
     m_observer.onPlaced(
