admission: compare the median response time with the usual one; the most urgent are always admitted

Cause: with a limit of a quarter of the latency target nothing was refused in bursts of 8 times: the median response time at a balancer was about 100 ms, as rejections count among the responses. The window of responses was also emptied at each update.

Change: the limit is twice the usual median, and the load summary must show 1.5 requests a slot. Only lower priorities are refused.

--- a/packages/placement/include/anvilwalk/placement/AdmissionController.h
+++ b/packages/placement/include/anvilwalk/placement/AdmissionController.h
@@ -3,6 +3,7 @@
 #include <anvilwalk/placement/FlowTracker.h>
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/SharedTargetLoad.h>
+#include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/units.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -16,17 +17,24 @@
 namespace anvilwalk {
 
 struct AdmissionOptions {
-    // Part of the latency target of a service's most urgent route that half of its responses may take. The slowest
-    // responses take about four times as long as the middle one, and these must meet the target too.
-    double maxMedianShare = 0.25;
+    // Ratio of the median response time to the usual one above which targets lack room: requests then wait for longer
+    // than they run.
+    double maxSlowdown = 2.0;
+    // Requests in progress per slot of the targets in use, above which slow responses are due to load and not to slow
+    // targets or links.
+    double minLoad = 1.5;
+    // Time constants with which the usual response time follows a higher and a lower median. A load that lasts for
+    // longer becomes usual.
+    std::chrono::milliseconds usualRiseTime { 60'000 };
+    std::chrono::milliseconds usualFallTime { 2'000 };
     std::chrono::milliseconds updateInterval { 100 };
     // Change of the number of admitted priorities in one update. Down in proportion to how far the median response time
     // is above its limit, at most by maxDecrease; up by a fixed step, so that the load returns gradually.
-    double decreaseGain = 0.3;
+    double decreaseGain = 1.0;
     double maxDecrease = 0.15;
     double increase = 0.05;
     // Share of the most urgent flows that is always admitted, so that the end of an overload is noticed.
-    double minAdmitted = 0.1;
+    double minAdmitted = 1.0;
     // Without a response for this long, nothing is known of the load.
     std::chrono::milliseconds maxSilence { 1000 };
     std::uint64_t seed = 0;
@@ -34,16 +42,17 @@
 
 // Refuses new flows of a service whose targets lack room, the routes of lowest priority first. Targets that lack room
 // queue requests, so the signal is what callers get: the median of the last response times of all targets of the
-// service, in whichever data centre. Some slow or failed targets do not move it. Each balancer decides by its own
-// responses; without them, nothing is refused.
+// service, in whichever data centre. Some slow or failed targets do not move it. Besides, the last load summary must
+// show that the targets are loaded; without a summary or responses, nothing is refused.
 class AdmissionController final : public ResponseListener {
 public:
     explicit AdmissionController(const AdmissionOptions&);
 
-    // Sets the routes whose priorities and latency targets count.
+    // Sets the routes whose priorities count.
     void setRoutes(const RouteTable&);
     // Returns whether a new flow of a route may be opened at a target of a service.
-    bool admit(const Route&, const ServiceName&, MonotonicTime now);
+    bool admit(
+        const Route&, const ServiceName&, const std::vector<Target*>&, const SharedLoadStatus&, MonotonicTime now);
     void onResponse(const ServiceName&, Duration) override;
     // Number of priorities of a service that are admitted, the last one in part; 0 if the service is not controlled.
     double admittedPriorities(const ServiceName&) const;
@@ -64,16 +73,18 @@
     struct ServiceState {
         // Priorities of the routes to the service, the most urgent first.
         std::vector<std::uint32_t> priorities;
-        // Shortest latency target of the routes of the most urgent priority.
-        std::chrono::milliseconds latencyTarget { 0 };
         ResponseWindow responses;
+        // Median response time without overload; 0 until it is known.
+        Duration usual { 0 };
         double admitted = 1;
         MonotonicTime updatedAt;
         MonotonicTime respondedAt;
     };
 
-    static void addRoute(ServiceState&, const Route&);
-    void update(ServiceState&, MonotonicTime now) const;
+    void update(ServiceState&, const std::vector<Target*>&, const SharedLoadStatus&, MonotonicTime now) const;
+    // Returns by how much the median response time exceeds its limit, as a part of the limit; at most 0 if the targets
+    // have room.
+    double excessOf(ServiceState&, const std::vector<Target*>&, const SharedLoadStatus&, Duration elapsed) const;
 
     AdmissionOptions m_options;
     pcg32 m_random;
--- a/packages/placement/src/AdmissionController.cpp
+++ b/packages/placement/src/AdmissionController.cpp
@@ -1,11 +1,31 @@
 #include <anvilwalk/placement/AdmissionController.h>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
 namespace anvilwalk {
 
+namespace {
+
+    // Requests in progress per slot of the targets that have any.
+    double loadOf(const std::vector<Target*>& targets)
+    {
+        double requests = 0;
+        double slots = 0;
+        for (const Target* target : targets) {
+            const std::uint32_t inProgress = target->activity.requestsInProgress + target->shared.requestsInProgress;
+            if (inProgress == 0)
+                continue;
+            requests += inProgress;
+            slots += target->record.slots;
+        }
+        return slots > 0 ? requests / slots : 0;
+    }
+
+} // namespace
+
 void AdmissionController::ResponseWindow::add(Duration time)
 {
     times[count % size] = time;
@@ -32,39 +52,22 @@
     if (routes.sharesLoad() && routes.hasPriorities()) {
         for (const Route& route : routes.routes()) {
             for (const WeightedService& choice : route.services)
-                addRoute(services[choice.service], route);
+                services[choice.service].priorities.push_back(route.priority);
         }
     }
-    absl::erase_if(services, [](const auto& entry) {
-        return entry.second.priorities.size() < 2 || entry.second.latencyTarget == std::chrono::milliseconds::zero();
-    });
     for (auto& [name, state] : services) {
+        std::sort(state.priorities.begin(), state.priorities.end());
+        state.priorities.erase(std::unique(state.priorities.begin(), state.priorities.end()), state.priorities.end());
         state.admitted = static_cast<double>(state.priorities.size());
         // A new configuration does not end an overload.
         const auto known = m_services.find(name);
-        if (known != m_services.end() && known->second.priorities == state.priorities) {
-            const auto latencyTarget = state.latencyTarget;
+        if (known != m_services.end() && known->second.priorities == state.priorities)
             state = known->second;
-            state.latencyTarget = latencyTarget;
-        }
     }
+    absl::erase_if(services, [](const auto& entry) { return entry.second.priorities.size() < 2; });
     m_services = std::move(services);
 }
 
-void AdmissionController::addRoute(ServiceState& state, const Route& route)
-{
-    auto& priorities = state.priorities;
-    const bool mostUrgent = priorities.empty() || route.priority < priorities.front();
-    const bool sharesMostUrgent = !priorities.empty() && route.priority == priorities.front();
-    if (mostUrgent)
-        state.latencyTarget = route.latencyTarget;
-    else if (sharesMostUrgent)
-        state.latencyTarget = std::min(state.latencyTarget, route.latencyTarget);
-    const auto at = std::lower_bound(priorities.begin(), priorities.end(), route.priority);
-    if (at == priorities.end() || *at != route.priority)
-        priorities.insert(at, route.priority);
-}
-
 void AdmissionController::onResponse(const ServiceName& service, Duration time)
 {
     const auto found = m_services.find(service);
@@ -72,14 +75,15 @@
         found->second.responses.add(time);
 }
 
-bool AdmissionController::admit(const Route& route, const ServiceName& service, MonotonicTime now)
+bool AdmissionController::admit(const Route& route, const ServiceName& service, const std::vector<Target*>& targets,
+    const SharedLoadStatus& sharedLoad, MonotonicTime now)
 {
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return true;
     ServiceState& state = found->second;
     if (now - state.updatedAt >= m_options.updateInterval)
-        update(state, now);
+        update(state, targets, sharedLoad, now);
     const auto rank = std::lower_bound(state.priorities.begin(), state.priorities.end(), route.priority);
     const auto moreUrgent = static_cast<double>(rank - state.priorities.begin());
     const double share = std::clamp(state.admitted - moreUrgent, 0.0, 1.0);
@@ -89,20 +93,20 @@
     return false;
 }
 
-void AdmissionController::update(ServiceState& state, MonotonicTime now) const
+void AdmissionController::update(ServiceState& state, const std::vector<Target*>& targets,
+    const SharedLoadStatus& sharedLoad, MonotonicTime now) const
 {
     const auto all = static_cast<double>(state.priorities.size());
     const Duration elapsed = now - std::exchange(state.updatedAt, now);
     if (std::exchange(state.responses.added, 0) > 0)
         state.respondedAt = now;
-    if (state.responses.count < ResponseWindow::size || now - state.respondedAt >= m_options.maxSilence) {
+    if (now - state.respondedAt >= m_options.maxSilence)
         state.responses.count = 0;
+    if (state.responses.count < ResponseWindow::size) {
         state.admitted = all;
         return;
     }
-    const Duration limit
-        = std::chrono::duration_cast<Duration>(Duration(state.latencyTarget) * m_options.maxMedianShare);
-    const double excess = std::chrono::duration<double>(state.responses.median() - limit) / limit;
+    const double excess = excessOf(state, targets, sharedLoad, elapsed);
     if (excess > 0) {
         const double decrease = std::min(excess * m_options.decreaseGain, m_options.maxDecrease);
         state.admitted = std::max(state.admitted - decrease, m_options.minAdmitted);
@@ -112,6 +116,20 @@
     state.admitted = std::min(state.admitted + m_options.increase * intervals, all);
 }
 
+double AdmissionController::excessOf(ServiceState& state, const std::vector<Target*>& targets,
+    const SharedLoadStatus& sharedLoad, Duration elapsed) const
+{
+    const Duration median = state.responses.median();
+    if (state.usual == Duration::zero())
+        state.usual = median;
+    const auto timeConstant = median > state.usual ? m_options.usualRiseTime : m_options.usualFallTime;
+    const double weight = 1 - std::exp(-std::chrono::duration<double>(elapsed) / timeConstant);
+    state.usual += std::chrono::duration_cast<Duration>((median - state.usual) * weight);
+    if (!sharedLoad.fresh || loadOf(targets) < m_options.minLoad)
+        return 0;
+    return std::chrono::duration<double>(median) / state.usual / m_options.maxSlowdown - 1;
+}
+
 double AdmissionController::admittedPriorities(const ServiceName& service) const
 {
     const auto found = m_services.find(service);
