load: parts are split by their size, figures are limited when encoded

Cause: a part held 50 targets, which take up to 1,550 bytes with large figures; receivers cut such a datagram off and drop it. A sum above the bounds of the format, which one absurd report can cause, made every receiver drop the whole summary. A negative time was encoded as one hour.

Change: targets are distributed over the parts by their encoded size. Counts and times are reduced to the bounds of the format when they are encoded. Messages larger than a datagram and messages without a sender are rejected.

A report of 45 targets with usual figures remains one part.

--- a/packages/load/include/anvilwalk/load/LoadMessage.h
+++ b/packages/load/include/anvilwalk/load/LoadMessage.h
@@ -74,7 +74,12 @@
 // Largest encoded message, in bytes; fits into one datagram without fragmentation.
 inline constexpr std::size_t maxLoadMessageBytes = 1400;
 
-// Encode a report or summary as CBOR, in as many parts as needed. The part numbers of the header are ignored.
+// Largest number of flows, requests, responses or balancers in a message. A balancer tracks 50,000 flows at most, so
+// neither a report nor a sum reaches it.
+inline constexpr std::uint32_t maxLoadCount = 10'000'000;
+
+// Encode a report or summary as CBOR, in as many parts as needed. The part numbers of the header are ignored. Figures
+// above the bounds of the format are reduced to them.
 std::vector<std::string> encodeLoadMessage(const LoadReport&);
 std::vector<std::string> encodeLoadMessage(const LoadSummary&);
 
--- a/packages/load/src/LoadMessage.cpp
+++ b/packages/load/src/LoadMessage.cpp
@@ -25,51 +25,83 @@
         Summary,
     };
 
-    // Targets in one part: each takes up to 22 bytes, the header up to 200.
-    constexpr std::size_t targetsInPart = 50;
-    // No balancer can have more of anything; greater figures are an error of the sender.
-    constexpr std::uint64_t maxCount = 10'000'000;
+    // Bytes of a message without its targets: up to 60 and the names of the balancer and the data centre.
+    constexpr std::size_t maxHeaderBytes = 250;
     constexpr std::uint64_t maxParts = 4096;
     constexpr std::uint64_t maxAgeMs = 60'000;
     // One hour.
     constexpr std::uint64_t maxResponseTime = 36'000'000;
 
+    std::uint32_t encodeCount(std::uint32_t count) { return std::min(count, maxLoadCount); }
+
     std::uint64_t encodeResponseTime(Duration time)
     {
-        return std::min(duration_cast<TenthsOfMilliseconds>(time).count(), maxResponseTime);
+        return std::min(duration_cast<TenthsOfMilliseconds>(std::max(time, Duration::zero())).count(), maxResponseTime);
     }
 
     // Targets are encoded as arrays and field names are short, because messages hold dozens of them.
     json encodeTarget(const TargetLoadReport& target)
     {
-        return json::array({ target.token.value(), target.openFlows, target.requestsInProgress, target.responses,
+        return json::array({ target.token.value(), encodeCount(target.openFlows),
+            encodeCount(target.requestsInProgress), encodeCount(target.responses),
             encodeResponseTime(target.responseTimeSum), target.unanswered ? 1U : 0U });
     }
 
     json encodeTarget(const TargetLoadSum& target)
     {
-        return json::array({ target.token.value(), target.openFlows, target.requestsInProgress,
-            target.unansweredBalancers, target.answeredBalancers, encodeResponseTime(target.responseTime) });
+        return json::array({ target.token.value(), encodeCount(target.openFlows),
+            encodeCount(target.requestsInProgress), encodeCount(target.unansweredBalancers),
+            encodeCount(target.answeredBalancers), encodeResponseTime(target.responseTime) });
+    }
+
+    // Returns the encoded size of a target: one byte for the array, and each number in the shortest form.
+    std::size_t encodedSize(const json& target)
+    {
+        std::size_t size = 1;
+        for (const json& value : target) {
+            const auto number = value.get<std::uint64_t>();
+            if (number < 24)
+                size += 1;
+            else if (number <= std::numeric_limits<std::uint8_t>::max())
+                size += 2;
+            else if (number <= std::numeric_limits<std::uint16_t>::max())
+                size += 3;
+            else
+                size += 5;
+        }
+        return size;
+    }
+
+    // Distributes the targets over as many lists as there must be messages.
+    template <class Target> std::vector<json> splitTargets(const std::vector<Target>& targets)
+    {
+        std::vector<json> lists { json::array() };
+        std::size_t bytes = maxHeaderBytes;
+        for (const Target& target : targets) {
+            json encoded = encodeTarget(target);
+            const std::size_t size = encodedSize(encoded);
+            if (bytes + size > maxLoadMessageBytes) {
+                lists.push_back(json::array());
+                bytes = maxHeaderBytes;
+            }
+            bytes += size;
+            lists.back().push_back(std::move(encoded));
+        }
+        return lists;
     }
 
     template <class Message> std::vector<std::string> encodeParts(const Message& message, json common)
     {
-        const std::size_t parts
-            = std::max<std::size_t>((message.targets.size() + targetsInPart - 1) / targetsInPart, 1);
+        std::vector<json> lists = splitTargets(message.targets);
         common["f"] = formatVersion;
         common["s"] = message.header.sender.value();
         common["d"] = message.header.dataCentre.value();
         common["n"] = message.header.sequence;
-        common["q"] = parts;
-        std::vector<std::string> encoded(parts);
-        for (std::size_t part = 0; part < parts; ++part) {
-            const auto begin = message.targets.begin() + static_cast<std::ptrdiff_t>(part * targetsInPart);
-            const auto left = static_cast<std::size_t>(message.targets.end() - begin);
-            json targets = json::array();
-            std::for_each(begin, begin + static_cast<std::ptrdiff_t>(std::min(left, targetsInPart)),
-                [&](const auto& target) { targets.push_back(encodeTarget(target)); });
+        common["q"] = lists.size();
+        std::vector<std::string> encoded(lists.size());
+        for (std::size_t part = 0; part < lists.size(); ++part) {
             common["p"] = part;
-            common["t"] = std::move(targets);
+            common["t"] = std::move(lists[part]);
             json::to_cbor(common, encoded[part]);
         }
         return encoded;
@@ -84,7 +116,7 @@
         return value.get<std::uint64_t>();
     }
 
-    std::uint32_t readCount(const json& value) { return static_cast<std::uint32_t>(readNumber(value, maxCount)); }
+    std::uint32_t readCount(const json& value) { return static_cast<std::uint32_t>(readNumber(value, maxLoadCount)); }
 
     FlowToken readToken(const json& value)
     {
@@ -106,23 +138,25 @@
             .sequence = readNumber(object.at("n"), std::numeric_limits<std::uint64_t>::max()),
             .part = static_cast<std::uint32_t>(readNumber(object.at("p"), maxParts)),
             .parts = static_cast<std::uint32_t>(readNumber(object.at("q"), maxParts)) };
+        if (header.sender.value().empty())
+            throw std::invalid_argument("no sender");
         if (header.part >= header.parts)
             throw std::invalid_argument("a part beyond the last one");
         return header;
     }
 
-    void checkTargets(const json& targets)
+    const json& readTargets(const json& object)
     {
-        if (!targets.is_array() || targets.size() > targetsInPart)
-            throw std::invalid_argument("not a list of targets, or too long");
+        const json& targets = object.at("t");
+        if (!targets.is_array())
+            throw std::invalid_argument("not a list of targets");
+        return targets;
     }
 
     LoadReport readReport(const json& object)
     {
         LoadReport report { .header = readHeader(object), .targets = {} };
-        const json& targets = object.at("t");
-        checkTargets(targets);
-        for (const json& target : targets)
+        for (const json& target : readTargets(object))
             report.targets.push_back({ .token = readToken(target.at(0)),
                 .openFlows = readCount(target.at(1)),
                 .requestsInProgress = readCount(target.at(2)),
@@ -138,9 +172,7 @@
             .age = milliseconds(readNumber(object.at("a"), maxAgeMs)),
             .balancers = readCount(object.at("b")),
             .targets = {} };
-        const json& targets = object.at("t");
-        checkTargets(targets);
-        for (const json& target : targets)
+        for (const json& target : readTargets(object))
             summary.targets.push_back({ .token = readToken(target.at(0)),
                 .openFlows = readCount(target.at(1)),
                 .requestsInProgress = readCount(target.at(2)),
@@ -173,12 +205,14 @@
         duration_cast<milliseconds>(summary.age).count(), 0, static_cast<std::int64_t>(maxAgeMs));
     return encodeParts(summary,
         { { "k", static_cast<unsigned>(MessageKind::Summary) }, { "a", static_cast<std::uint64_t>(age) },
-            { "b", summary.balancers } });
+            { "b", encodeCount(summary.balancers) } });
 }
 
 Result<LoadMessage> decodeLoadMessage(std::string_view bytes)
 {
     try {
+        if (bytes.size() > maxLoadMessageBytes)
+            throw std::invalid_argument("larger than a datagram");
         return readMessage(json::from_cbor(bytes));
     } catch (const std::exception& error) {
         return Error { .code = ErrorCode::InvalidArgument,
