--- a/packages/load/include/anvilwalk/load/LoadExchange.h
+++ b/packages/load/include/anvilwalk/load/LoadExchange.h
@@ -48,7 +48,7 @@
 
     Status open();
     // Sets whether reports are sent and summaries used.
-    void setEnabled(bool enabled) { m_enabled = enabled; }
+    void setEnabled(bool);
     // Sets a handler for messages that cannot be decoded.
     void onMalformed(std::function<void(const Error&)> handler) { m_onMalformed = std::move(handler); }
     // Receives messages until the io_context ends.
--- a/packages/load/include/anvilwalk/load/LoadSampler.h
+++ b/packages/load/include/anvilwalk/load/LoadSampler.h
@@ -16,12 +16,13 @@
     {
     }
 
-    // Returns the targets with flows now or responses since the last call.
-    std::vector<TargetLoadReport> sample();
+    // Returns the targets with flows now, responses since the last call or packets that went unanswered recently.
+    std::vector<TargetLoadReport> sample(MonotonicTime now);
 
 private:
-    // Counts at the last call.
+    // Counts of a run of a target at the last call.
     struct Counts {
+        std::uint64_t startedMs = 0;
         std::uint64_t responses = 0;
         Duration responseTimeSum { 0 };
     };
--- a/packages/load/src/LoadExchange.cpp
+++ b/packages/load/src/LoadExchange.cpp
@@ -39,6 +39,14 @@
     return std::monostate {};
 }
 
+void LoadExchange::setEnabled(bool enabled)
+{
+    // Responses from before are not part of the first report.
+    if (enabled && !m_enabled)
+        (void)m_sampler.sample(m_clock.now());
+    m_enabled = enabled;
+}
+
 asio::awaitable<void> LoadExchange::receive()
 {
     std::array<char, maxLoadMessageBytes> buffer {};
@@ -95,7 +103,7 @@
     const std::vector<Member> members = m_members.localMembers();
     const LoadReport report { .header
         = { .sender = m_members.self().id, .dataCentre = m_members.self().dataCentre, .sequence = ++m_sequence },
-        .targets = m_sampler.sample() };
+        .targets = m_sampler.sample(now) };
     m_sharedLoad.recordOwnReport(report.targets);
     if (members.size() == 1)
         return;
