load: a balancer counts once for each target, response times of all parts count

Cause: a report that names a target several times counted as several balancers, so that one balancer alone could exclude a target. Sums of many large figures wrapped around. Response times were lost if two reports of a balancer arrived between two summaries, or a part after the summary. A repeated datagram kept the report of a stopped balancer alive. Targets without traffic were left out of summaries, so a balancer that had just started or a new collector did not learn their speeds.

Change: a report holds each target once. Response times are taken when a part arrives, which replaces the mark of counted reports. A summary also holds the response times of targets without traffic.

--- a/packages/load/include/anvilwalk/load/LoadCollector.h
+++ b/packages/load/include/anvilwalk/load/LoadCollector.h
@@ -7,7 +7,6 @@
 #include <absl/container/flat_hash_set.h>
 #include <chrono>
 #include <cstdint>
-#include <vector>
 
 namespace anvilwalk {
 
@@ -30,9 +29,11 @@
 public:
     LoadCollector(const LoadCollectorOptions&, TargetCatalogue&);
 
-    // Adds one part of a report. Targets that this balancer does not know are left out.
+    // Adds one part of a report. Targets that this balancer does not know are left out, and so are repeated ones, so
+    // that a balancer counts once for each target.
     void handle(const LoadReport&, MonotonicTime now);
-    // Returns the sums of the reports that are recent. The header is left empty.
+    // Returns the sums of the reports that are recent, and the response times of all targets for which they are known.
+    // The header is left empty.
     LoadSummary summarize(MonotonicTime now);
 
 private:
@@ -40,25 +41,25 @@
         std::uint64_t sequence = 0;
         MonotonicTime receivedAt;
         absl::flat_hash_set<std::uint32_t> parts;
-        std::vector<TargetLoadReport> targets;
-        // Its response times are in the moving averages.
-        bool counted = false;
+        absl::flat_hash_map<FlowToken, TargetLoadReport> targets;
     };
     struct ResponseTimes {
-        std::uint32_t responses = 0;
+        std::uint64_t responses = 0;
         Duration sum { 0 };
     };
 
-    void addReport(Reporter&, absl::flat_hash_map<FlowToken, TargetLoadSum>&,
-        absl::flat_hash_map<FlowToken, ResponseTimes>&) const;
+    void addReport(const Reporter&, absl::flat_hash_map<FlowToken, TargetLoadSum>&) const;
     bool isOwnFault(const Reporter&) const;
-    void updateResponseTimes(const absl::flat_hash_map<FlowToken, ResponseTimes>&);
+    void updateResponseTimes();
     // Returns the moving average; that of the last summary of another collector if there is none yet.
     Duration responseTimeOf(FlowToken) const;
 
     LoadCollectorOptions m_options;
     TargetCatalogue& m_targets;
     absl::flat_hash_map<BalancerId, Reporter> m_reporters;
+    // Response times that have been reported since the last summary.
+    absl::flat_hash_map<FlowToken, ResponseTimes> m_newResponseTimes;
+    // Moving averages.
     absl::flat_hash_map<FlowToken, Duration> m_responseTimes;
 };
 
