load: parts of a summary are applied as they arrive; the collector changes only if its summaries stop

Cause: if a part of a summary was lost, the others were applied only when the next summary began, and targets of the lost part counted as idle, which draws new flows to them. The age of the reports, not the time since the last summary, decided when the other collector's summary is used: with reports of 0.6 s on average, a summary that covers fewer balancers replaced the complete one before the next one arrived.

Change: SharedLoad applies each part on its arrival. Targets of a lost part keep their figures, for 4 s at most; a complete summary clears the targets that it does not hold. Another collector's summary is used if it covers more balancers or the last one arrived 1.5 s ago.

Measured: three of the cases of SharedLoadTest and LoadDataCentreTest (28 balancers, 50 targets, a tenth of the messages lost, a collector lost halfway) fail without the change and pass with it. There, a new collector that covered 15 of 27 balancers replaced the complete sums.

--- a/packages/load/include/anvilwalk/load/SharedLoad.h
+++ b/packages/load/include/anvilwalk/load/SharedLoad.h
@@ -14,7 +14,8 @@
 struct SharedLoadOptions {
     // Age of its reports at which a summary counts no longer.
     std::chrono::milliseconds maxAge { 4000 };
-    // A summary of another collector that covers fewer balancers is adopted only once the last one is this old.
+    // A summary of another collector that does not cover more balancers is adopted only if the last one arrived this
+    // long ago. One interval of summaries and a half.
     std::chrono::milliseconds preferredCollectorTime { 1500 };
 };
 
@@ -25,34 +26,35 @@
 
     // Records what this balancer has just reported.
     void recordOwnReport(const std::vector<TargetLoadReport>&);
-    // Adds one part of a summary. The figures are replaced once all parts have arrived, or those that did when the next
-    // summary begins.
+    // Applies one part of a summary. Targets that no part holds are cleared once all parts have arrived. If a part is
+    // lost, its targets keep their last figures: without any they would look idle and draw the new flows.
     void handle(const LoadSummary&, MonotonicTime now);
-    // Forgets the figures of a summary that is too old.
+    // Clears figures that are too old.
     void expire(MonotonicTime now);
 
     const SharedLoadStatus& status() const { return m_targets.sharedLoad(); }
 
 private:
-    // A summary whose parts are arriving.
-    struct Arriving {
-        LoadMessageHeader header;
-        std::uint32_t balancers = 0;
-        MonotonicTime takenAt;
+    // The summary in force; some of its parts may not have arrived.
+    struct Current {
+        BalancerId collector;
+        std::uint64_t sequence = 0;
+        // Arrival of the first part.
+        MonotonicTime arrivedAt;
         absl::flat_hash_set<std::uint32_t> parts;
-        std::vector<TargetLoadSum> targets;
     };
 
     bool isAcceptable(const LoadSummary&, MonotonicTime now) const;
-    void applyArrived();
+    // Clears the figures that no summary since this time holds, but for the response times: learnt speeds stay.
+    void clearBefore(MonotonicTime);
     SharedTargetLoad withoutOwn(const TargetLoadSum&) const;
 
     SharedLoadOptions m_options;
     TargetCatalogue& m_targets;
     absl::flat_hash_map<FlowToken, TargetLoadReport> m_ownReport;
-    Arriving m_arriving;
-    // Sender and sequence number of the summary in force.
-    LoadMessageHeader m_applied;
+    Current m_current;
+    // Arrival of the last summary that holds the target.
+    absl::flat_hash_map<FlowToken, MonotonicTime> m_updatedAt;
 };
 
 } // namespace anvilwalk
--- a/packages/load/src/SharedLoad.cpp
+++ b/packages/load/src/SharedLoad.cpp
@@ -1,7 +1,5 @@
 #include <anvilwalk/load/SharedLoad.h>
 
-#include <utility>
-
 namespace anvilwalk {
 
 namespace {
@@ -27,53 +25,45 @@
 {
     if (!isAcceptable(summary, now))
         return;
-    const bool continues
-        = m_arriving.header.sender == summary.header.sender && m_arriving.header.sequence == summary.header.sequence;
-    if (!continues) {
-        // Parts of the summary before may have been lost; those that arrived count.
-        if (!m_arriving.parts.empty())
-            applyArrived();
-        m_arriving.header = summary.header;
-    }
-    m_arriving.balancers = summary.balancers;
-    m_arriving.takenAt = now - summary.age;
-    if (!m_arriving.parts.insert(summary.header.part).second)
+    if (m_current.collector != summary.header.sender || m_current.sequence != summary.header.sequence)
+        m_current = {
+            .collector = summary.header.sender, .sequence = summary.header.sequence, .arrivedAt = now, .parts = {}
+        };
+    if (!m_current.parts.insert(summary.header.part).second)
         return;
-    m_arriving.targets.insert(m_arriving.targets.end(), summary.targets.begin(), summary.targets.end());
-    if (m_arriving.parts.size() == summary.header.parts)
-        applyArrived();
+    for (const TargetLoadSum& sum : summary.targets) {
+        Target* target = m_targets.find(sum.token);
+        if (target == nullptr)
+            continue;
+        const Duration known = target->shared.responseTime;
+        target->shared = withoutOwn(sum);
+        if (sum.responseTime == Duration::zero())
+            target->shared.responseTime = known;
+        m_updatedAt[sum.token] = m_current.arrivedAt;
+    }
+    if (m_current.parts.size() == summary.header.parts)
+        clearBefore(m_current.arrivedAt);
+    m_targets.setSharedLoad({ .fresh = true, .balancers = summary.balancers, .takenAt = now - summary.age });
 }
 
 bool SharedLoad::isAcceptable(const LoadSummary& summary, MonotonicTime now) const
 {
     if (summary.age >= m_options.maxAge || summary.balancers == 0)
         return false;
-    const SharedLoadStatus& current = status();
-    if (!current.fresh || now - current.takenAt >= m_options.preferredCollectorTime)
+    if (!status().fresh || now - m_current.arrivedAt >= m_options.preferredCollectorTime)
         return true;
-    if (summary.header.sender == m_applied.sender)
-        return summary.header.sequence > m_applied.sequence;
-    return summary.balancers > current.balancers;
+    if (summary.header.sender == m_current.collector)
+        return summary.header.sequence >= m_current.sequence;
+    return summary.balancers > status().balancers;
 }
 
-void SharedLoad::applyArrived()
+void SharedLoad::clearBefore(MonotonicTime time)
 {
-    const Arriving arrived = std::exchange(m_arriving, {});
-    m_applied = arrived.header;
+    absl::erase_if(m_updatedAt, [&](const auto& entry) { return entry.second < time; });
     for (Target* target : m_targets.present()) {
-        // Learnt response times stay while a target has no flows.
-        target->shared = { .responseTime = target->shared.responseTime };
+        if (!m_updatedAt.contains(target->token))
+            target->shared = { .responseTime = target->shared.responseTime };
     }
-    for (const TargetLoadSum& sum : arrived.targets) {
-        Target* target = m_targets.find(sum.token);
-        if (target == nullptr)
-            continue;
-        const Duration known = target->shared.responseTime;
-        target->shared = withoutOwn(sum);
-        if (sum.responseTime == Duration::zero())
-            target->shared.responseTime = known;
-    }
-    m_targets.setSharedLoad({ .fresh = true, .balancers = arrived.balancers, .takenAt = arrived.takenAt });
 }
 
 SharedTargetLoad SharedLoad::withoutOwn(const TargetLoadSum& sum) const
@@ -89,11 +79,15 @@
 
 void SharedLoad::expire(MonotonicTime now)
 {
-    if (!status().fresh || now - status().takenAt < m_options.maxAge)
+    if (!status().fresh)
+        return;
+    const bool outdated = now - status().takenAt >= m_options.maxAge;
+    clearBefore(outdated ? MonotonicTime::max() : now - m_options.maxAge);
+    if (!outdated)
         return;
-    for (Target* target : m_targets.present())
-        target->shared = { .responseTime = target->shared.responseTime };
     m_targets.setSharedLoad({});
+    // A collector that has started again may use the same sequence number.
+    m_current = {};
 }
 
 } // namespace anvilwalk
