load: a new collector's sums replace complete ones only if they cover three quarters of the balancers

Cause: a member that becomes a collector has the reports of few balancers in its first second. A balancer that had lost one summary of the other collector took these sums and saw a part of the flows only.

Change: the summary of another collector that covers fewer balancers is used 1.5 s after the last one only if it covers at least three quarters of them, else once the figures are unknown.

Measured: the new case of SharedLoadTest fails without the change and passes with it.

--- a/packages/load/include/anvilwalk/load/SharedLoad.h
+++ b/packages/load/include/anvilwalk/load/SharedLoad.h
@@ -17,6 +17,9 @@
     // A summary of another collector that does not cover more balancers is adopted only if the last one arrived this
     // long ago. One interval of summaries and a half.
     std::chrono::milliseconds preferredCollectorTime { 1500 };
+    // It must also cover at least this share of the balancers that the last one covered, as long as the figures are not
+    // unknown: a new collector has the reports of few balancers in its first second.
+    double minCoverage = 0.75;
 };
 
 // Applies the summaries of the collectors to the target catalogue, without the part that this balancer has reported.
--- a/packages/load/src/SharedLoad.cpp
+++ b/packages/load/src/SharedLoad.cpp
@@ -50,11 +50,14 @@
 {
     if (summary.age >= m_options.maxAge || summary.balancers == 0)
         return false;
-    if (!status().fresh || now - m_current.arrivedAt >= m_options.preferredCollectorTime)
+    if (!status().fresh)
         return true;
+    const bool overdue = now - m_current.arrivedAt >= m_options.preferredCollectorTime;
+    // A collector that has started again counts from 1.
     if (summary.header.sender == m_current.collector)
-        return summary.header.sequence >= m_current.sequence;
-    return summary.balancers > status().balancers;
+        return overdue || summary.header.sequence >= m_current.sequence;
+    return summary.balancers > status().balancers
+        || (overdue && summary.balancers >= m_options.minCoverage * status().balancers);
 }
 
 void SharedLoad::clearBefore(MonotonicTime time)
--- a/tests/load/LoadDataCentreTest.cpp
+++ b/tests/load/LoadDataCentreTest.cpp
@@ -25,7 +25,7 @@
 
     std::uint32_t number;
     bool running = true;
-    // Arrival of the last summary.
+    // Arrival of the last summary that was used.
     MonotonicTime summaryAt;
     std::uint64_t sequence = 0;
     LoadTargets targets { targetCount };
@@ -163,8 +163,10 @@
             if constexpr (std::is_same_v<Message, LoadReport>)
                 receiver.collector.handle(std::get<LoadReport>(valueOf(decoded)), m_now);
             else {
+                const MonotonicTime before = receiver.shared.status().takenAt;
                 receiver.shared.handle(std::get<LoadSummary>(valueOf(decoded)), m_now);
-                receiver.summaryAt = m_now;
+                if (receiver.shared.status().takenAt != before)
+                    receiver.summaryAt = m_now;
             }
         }
     }
--- a/tests/load/SharedLoadTest.cpp
+++ b/tests/load/SharedLoadTest.cpp
@@ -166,6 +166,27 @@
     }
 }
 
+// Guards against the sums of a new collector, which has few reports at first, at a balancer that has lost one summary
+// of the other collector.
+TEST_CASE("A summary that covers much fewer balancers is used only once the figures are unknown")
+{
+    Fixture fixture;
+    fixture.summary(loadHeader(1, 1), 28, { busy(1, 50) });
+    fixture.targets.clock.advance(1600ms);
+    fixture.summary(loadHeader(2, 1), 20, { busy(1, 30) });
+    CHECK(fixture.openFlows(1) == 50);
+    fixture.summary(loadHeader(2, 2), 21, { busy(1, 40) });
+    CHECK(fixture.openFlows(1) == 40);
+    // A collector whose own sums shrink is followed.
+    fixture.targets.clock.advance(1s);
+    fixture.summary(loadHeader(2, 3), 5, { busy(1, 10) });
+    CHECK(fixture.openFlows(1) == 10);
+    fixture.targets.clock.advance(3500ms);
+    fixture.shared.expire(fixture.targets.clock.now());
+    fixture.summary(loadHeader(3, 1), 1, { busy(1, 2) });
+    CHECK(fixture.openFlows(1) == 2);
+}
+
 // Guards against choices by outdated figures, when both collectors are lost.
 TEST_CASE("The figures are unknown once the reports of the last summary are 4 s old")
 {
