placement: choose by shared figures without a herd

Cause: in a model of 20 balancers and 30 targets the choice with shared figures was worse than by own samples. The figures are 0.5 to 3 s old, while a request takes some 40 ms; response times include waiting, so loaded targets looked slow to all balancers at once; and at few own flows the targets within 15% of the least own load excluded every slow target.

Change: each balancer adds to its own load the mean load by one other balancer, so that it corrects its own share of an imbalance only. The summary's requests fade with their age relative to the response time. The service time is learnt from response times of targets without a queue, and upwards only from those with a longer queue than the mean: rejections by a full target look like fast responses. Own openings of about the last second spread flows over targets that are equal otherwise. The penalty of remote targets is in requests per slot by all balancers.

--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -4,7 +4,6 @@
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/units.h>
 
-#include <absl/container/flat_hash_map.h>
 #include <cstdint>
 #include <pcg_random.hpp>
 #include <vector>
@@ -29,21 +28,22 @@
     std::chrono::milliseconds maxBackoff { 8000 };
     // Measured response times older than this are ignored.
     std::chrono::milliseconds responseTimeMaxAge { 3000 };
-    // Time over which the rate of the flows that this balancer opens is averaged.
-    std::chrono::milliseconds openingRateTime { 2000 };
-    // Targets whose own load exceeds the least one by at most this share count as equally loaded.
-    double ownLoadTolerance = 0.15;
+    // A new sample of a target's service time counts as one part in so many. A sample that was taken while the target's
+    // queue grew or shrank is off by a multiple; a target's speed changes rarely.
+    int serviceTimeSmoothing = 16;
+    // Seconds for which a flow opened in the last second counts at most, besides its request in progress. Only spreads
+    // flows over targets that are equally loaded otherwise; longer requests are seen in progress.
+    double maxOpeningTime = 0.1;
     // A target is avoided if at least so many other balancers report that it leaves packets unanswered, and fewer get
     // responses from it. More than one, because a balancer may be at fault itself.
     std::uint32_t minUnansweredBalancers = 2;
     std::uint64_t seed = 0;
 };
 
-// Chooses the target of a new flow. Without a load summary: the least loaded responsive target by this balancer's own
-// estimate. With one: among the targets that the own flows load least, at random, weighted by the room that each has
-// left by the flows of all balancers. The others have opened flows since they reported and choose by the same summary,
-// so the target that is least loaded in it would get all of them; therefore room is counted below the level to which
-// the flows that were probably opened since fill the least loaded targets.
+// Chooses the target of a new flow: the least loaded responsive one. Without a load summary the load is this balancer's
+// own estimate. With one, it is the sum of this balancer's load and the mean load by one other balancer, so that each
+// balancer corrects its own share of an imbalance. If each corrected all of it, all would choose the target that is
+// least loaded in the summary. Requests of the summary count for as long as they are probably in progress.
 class TargetChooser {
 public:
     explicit TargetChooser(const TargetChooserOptions&);
@@ -52,44 +52,47 @@
     Target* choose(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus& = {});
 
 private:
-    // A target with the best rank among those that a flow may go to.
+    // A target with the best rank among those that a flow may go to. Loads are in requests per slot of a target of
+    // usual speed.
     struct Candidate {
         Target* target = nullptr;
-        // Requests in progress by this balancer's flows, the new one included, per slot of a target of usual speed.
-        double ownLoad = 0;
-        // The same by the flows of all balancers, without the new one.
-        double load = 0;
+        // Service time relative to the usual one.
+        double slowdown = 1;
         // Slots, fewer for a slow target.
         double capacity = 1;
-    };
-    // Moving count of the flows that this balancer opened at a service.
-    struct OpeningRate {
-        double count = 0;
-        MonotonicTime updatedAt;
+        // Whether the target is in this balancer's data centre.
+        bool local = true;
+        // Expected load by the own flows of about the last second, relative to the mean.
+        double recentLoad = 0;
+        // Mean load by one other balancer, with the penalty of a remote target.
+        double othersLoad = 0;
     };
 
     Target* chooseLeastLoaded(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now);
-    Target* chooseByRoom(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus&);
-    // Fills m_candidates, the least loaded first.
-    void collectCandidates(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now);
-    // Picks one of m_candidates at random, weighted by its room below a load.
-    Target* pickByRoom(double level);
-    // Returns the load up to which a number of requests fills the least loaded candidates.
-    double fillLevel(double requests) const;
-    // Returns the flows per second that this balancer opens at a service, the one being placed included.
-    double recordOpening(const ServiceName&, MonotonicTime now);
+    Target* chooseBySharedLoad(
+        const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus&);
+    // Fills m_candidates.
+    void collectCandidates(
+        const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus&);
+    // Sets the load by others of the local or of the remote candidates. On all of them together, the others have as
+    // much load as this balancer, which is known now; the summary tells which of them have more.
+    void estimateOthers(bool local, MonotonicTime now, const SharedLoadStatus&);
+    double estimatedLoadOf(const Candidate&) const;
+    // Learns the service times from a new summary. The response time of a target without a queue is its service time. A
+    // target with a longer queue than the mean is slower than estimated; how much is not known from its response time,
+    // because that includes waiting, or rejections that take no work.
+    void updateServiceTimes(const std::vector<Target*>&, const SharedLoadStatus&) const;
     int rankOf(const Target&, const TriedTargets&, MonotonicTime now) const;
     double loadOf(const Target&, Duration fastest, MonotonicTime now) const;
-    double sharedSlowdownOf(const Target&, Duration usual, MonotonicTime now) const;
+    double slowdownOf(const Target&, Duration usual, MonotonicTime now) const;
     bool isBackedOff(const Target&, MonotonicTime now) const;
     bool isSilentForOthers(const Target&) const;
 
     TargetChooserOptions m_options;
     pcg32 m_random;
-    absl::flat_hash_map<ServiceName, OpeningRate> m_openingRates;
     // Used by one choice; kept to reuse the memory.
     std::vector<Candidate> m_candidates;
-    std::vector<Duration> m_responseTimes;
+    std::vector<Duration> m_serviceTimes;
 };
 
 } // namespace anvilwalk
--- a/packages/placement/src/FlowTracker.cpp
+++ b/packages/placement/src/FlowTracker.cpp
@@ -85,8 +85,10 @@
     flow.lastSeen = now;
     if (!flow.tried.contains(token))
         flow.tried.add(token);
-    if (TargetActivity* activity = activityOf(token))
+    if (TargetActivity* activity = activityOf(token)) {
         ++activity->pendingOpenings;
+        activity->addOpening(now);
+    }
 }
 
 void FlowTracker::recordPacket(const PacketFields& fields, Target& target, MonotonicTime now)
@@ -150,8 +152,6 @@
     activity.lastResponse = now;
     recordAnswer(target);
     m_observer.onResponse(target, sample);
-    if (m_listener != nullptr)
-        m_listener->onResponse(target.record.service, sample);
 }
 
 void FlowTracker::recordUnanswered(Target& target, const FlowKey& key, std::uint32_t weight, MonotonicTime now)
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <random>
 
 namespace anvilwalk {
 
@@ -30,6 +29,8 @@
         return activity.responseTime > Duration::zero() && now - activity.lastResponse < maxAge;
     }
 
+    double busyOf(const TargetActivity& activity) { return activity.requestsInProgress + activity.pendingOpenings; }
+
     // Response time of the fastest tenth, which is not that of a single lucky measurement; 0 if there is none.
     Duration lowQuantile(std::vector<Duration>& times)
     {
@@ -54,7 +55,7 @@
 {
     if (!sharedLoad.fresh)
         return chooseLeastLoaded(targets, tried, now);
-    return chooseByRoom(targets, tried, now, sharedLoad);
+    return chooseBySharedLoad(targets, tried, now, sharedLoad);
 }
 
 Target* TargetChooser::chooseLeastLoaded(
@@ -88,47 +89,36 @@
     return best;
 }
 
-Target* TargetChooser::chooseByRoom(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now,
-    const SharedLoadStatus& sharedLoad)
-{
-    collectCandidates(targets, tried, now);
-    if (m_candidates.empty())
-        return nullptr;
-    const double openingsPerSecond = recordOpening(m_candidates.front().target->record.service, now);
-    const double age = std::chrono::duration<double>(now - sharedLoad.takenAt).count();
-    const double othersOpenings = openingsPerSecond * age * (sharedLoad.balancers - 1);
-    const double level = fillLevel(othersOpenings + 1);
-    double leastOwnLoad = std::numeric_limits<double>::max();
-    for (const Candidate& candidate : m_candidates)
-        leastOwnLoad = std::min(leastOwnLoad, candidate.ownLoad);
-    const double maxOwnLoad = leastOwnLoad * (1 + m_options.ownLoadTolerance);
-    std::erase_if(m_candidates, [=](const Candidate& candidate) { return candidate.ownLoad > maxOwnLoad; });
-    return pickByRoom(level);
-}
-
-Target* TargetChooser::pickByRoom(double level)
+Target* TargetChooser::chooseBySharedLoad(const std::vector<Target*>& targets, const TriedTargets& tried,
+    MonotonicTime now, const SharedLoadStatus& sharedLoad)
 {
-    double room = 0;
-    for (const Candidate& candidate : m_candidates)
-        room += std::max(level - candidate.load, 0.0) * candidate.capacity;
-    double position = std::uniform_real_distribution<double>(0, room)(m_random);
+    collectCandidates(targets, tried, now, sharedLoad);
+    Target* best = nullptr;
+    double bestLoad = std::numeric_limits<double>::max();
+    std::uint32_t tieCount = 0;
     for (const Candidate& candidate : m_candidates) {
-        position -= std::max(level - candidate.load, 0.0) * candidate.capacity;
-        if (position < 0)
-            return candidate.target;
+        const double load = estimatedLoadOf(candidate);
+        if (load > bestLoad + loadTolerance)
+            continue;
+        tieCount = load < bestLoad - loadTolerance ? 1 : tieCount + 1;
+        if (tieCount == 1 || m_random(tieCount) == 0) {
+            best = candidate.target;
+            bestLoad = load;
+        }
     }
-    // None has room: the least loaded one.
-    return m_candidates.front().target;
+    return best;
 }
 
-void TargetChooser::collectCandidates(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
+void TargetChooser::collectCandidates(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now,
+    const SharedLoadStatus& sharedLoad)
 {
     m_candidates.clear();
-    m_responseTimes.clear();
+    m_serviceTimes.clear();
+    updateServiceTimes(targets, sharedLoad);
     int bestRank = Unusable;
     for (Target* target : targets) {
-        if (target->shared.responseTime > Duration::zero())
-            m_responseTimes.push_back(target->shared.responseTime);
+        if (target->serviceTime > Duration::zero())
+            m_serviceTimes.push_back(target->serviceTime);
         const int rank = rankOf(*target, tried, now);
         if (rank == Unusable || rank > bestRank)
             continue;
@@ -137,59 +127,95 @@
         bestRank = rank;
         m_candidates.push_back({ .target = target });
     }
-    const Duration usual = lowQuantile(m_responseTimes);
+    if (m_candidates.empty())
+        return;
+    const Duration usual = lowQuantile(m_serviceTimes);
     for (Candidate& candidate : m_candidates) {
         const Target& target = *candidate.target;
-        const double ownBusy = target.activity.requestsInProgress + target.activity.pendingOpenings;
-        const double busy = ownBusy + target.shared.requestsInProgress;
-        const double ownIdle = std::max(target.activity.openFlows - ownBusy, 0.0);
-        const double idle = std::max(target.activity.openFlows + target.shared.openFlows - busy, 0.0);
-        candidate.capacity = std::max<std::uint32_t>(target.record.slots, 1) / sharedSlowdownOf(target, usual, now);
-        candidate.ownLoad = (ownBusy + 1 + ownIdle * m_options.idleFlowLoad) / candidate.capacity;
-        candidate.load = (busy + idle * m_options.idleFlowLoad) / candidate.capacity;
-        if (target.record.dataCentre != m_options.dataCentre) {
-            candidate.ownLoad += m_options.remotePenalty;
-            candidate.load += m_options.remotePenalty;
-        }
+        candidate.local = target.record.dataCentre == m_options.dataCentre;
+        candidate.slowdown = slowdownOf(target, usual, now);
+        candidate.capacity = std::max<std::uint32_t>(target.record.slots, 1) / candidate.slowdown;
+        const double seconds = std::chrono::duration<double>(usual).count() * candidate.slowdown;
+        candidate.recentLoad
+            = target.activity.openingsPerSecond(now) * std::min(seconds, m_options.maxOpeningTime) / candidate.capacity;
     }
-    std::sort(m_candidates.begin(), m_candidates.end(),
-        [](const Candidate& a, const Candidate& b) { return a.load < b.load; });
+    estimateOthers(true, now, sharedLoad);
+    estimateOthers(false, now, sharedLoad);
 }
 
-double TargetChooser::fillLevel(double requests) const
+void TargetChooser::estimateOthers(bool local, MonotonicTime now, const SharedLoadStatus& sharedLoad)
 {
-    double level = m_candidates.front().load;
+    const double others = std::max<double>(sharedLoad.balancers, 2) - 1;
+    const double age = std::chrono::duration<double>(now - sharedLoad.takenAt).count();
+    double ownBusy = 0;
+    double sharedBusy = 0;
+    double recent = 0;
     double capacity = 0;
-    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
-        capacity += m_candidates[index].capacity;
-        const bool last = index + 1 == m_candidates.size();
-        const double next = last ? std::numeric_limits<double>::max() : m_candidates[index + 1].load;
-        // The candidates so far fill up to the load of the next one, unless there are too few requests.
-        const double needed = last ? requests : (next - level) * capacity;
-        if (needed >= requests)
-            return level + requests / capacity;
-        requests -= needed;
-        level = next;
+    for (const Candidate& candidate : m_candidates) {
+        if (candidate.local != local)
+            continue;
+        ownBusy += busyOf(candidate.target->activity);
+        sharedBusy += candidate.target->shared.requestsInProgress / others;
+        recent += candidate.recentLoad * candidate.capacity;
+        capacity += candidate.capacity;
+    }
+    for (Candidate& candidate : m_candidates) {
+        if (candidate.local != local)
+            continue;
+        const SharedTargetLoad& shared = candidate.target->shared;
+        const double responseSeconds = std::chrono::duration<double>(shared.responseTime).count();
+        const double remaining = responseSeconds > 0 ? std::exp(-age / responseSeconds) : 0;
+        const double excess = shared.requestsInProgress / others / candidate.capacity - sharedBusy / capacity;
+        const double idle = std::max(static_cast<double>(shared.openFlows) - shared.requestsInProgress, 0.0);
+        candidate.othersLoad
+            = ownBusy / capacity + excess * remaining + idle * m_options.idleFlowLoad / others / candidate.capacity;
+        candidate.recentLoad -= recent / capacity;
+        if (!local)
+            candidate.othersLoad += m_options.remotePenalty / (others + 1);
     }
-    return level;
 }
 
-double TargetChooser::sharedSlowdownOf(const Target& target, Duration usual, MonotonicTime now) const
+double TargetChooser::estimatedLoadOf(const Candidate& candidate) const
 {
-    const Duration time = target.shared.responseTime;
-    if (time > Duration::zero() && usual > Duration::zero())
-        return std::clamp(
-            static_cast<double>(time.count()) / static_cast<double>(usual.count()), 1.0, m_options.maxSlowdown);
-    return now < target.coldUntil ? m_options.coldFactor : 1;
+    const TargetActivity& activity = candidate.target->activity;
+    const double idle
+        = activity.openFlows > activity.requestsInProgress ? activity.openFlows - activity.requestsInProgress : 0;
+    const double own = busyOf(activity) + idle * m_options.idleFlowLoad;
+    return own / candidate.capacity + candidate.recentLoad + candidate.othersLoad;
+}
+
+void TargetChooser::updateServiceTimes(const std::vector<Target*>& targets, const SharedLoadStatus& sharedLoad) const
+{
+    if (targets.empty() || targets.front()->serviceTimeUpdatedAt == sharedLoad.takenAt)
+        return;
+    const auto busyPerSlot = [](const Target& target) {
+        return static_cast<double>(target.shared.requestsInProgress + target.activity.requestsInProgress)
+            / std::max<std::uint32_t>(target.record.slots, 1);
+    };
+    double meanBusy = 0;
+    for (const Target* target : targets)
+        meanBusy += busyPerSlot(*target) / static_cast<double>(targets.size());
+    for (Target* target : targets) {
+        target->serviceTimeUpdatedAt = sharedLoad.takenAt;
+        const Duration sample = target->shared.responseTime;
+        const double busy = busyPerSlot(*target);
+        // The speed during the warm-up time is not that of the target.
+        if (sample == Duration::zero() || sharedLoad.takenAt < target->coldUntil)
+            continue;
+        if (target->serviceTime == Duration::zero())
+            target->serviceTime = sample;
+        else if (busy <= 1 || (busy > meanBusy && sample > target->serviceTime))
+            target->serviceTime += (sample - target->serviceTime) / m_options.serviceTimeSmoothing;
+    }
 }
 
-double TargetChooser::recordOpening(const ServiceName& service, MonotonicTime now)
+double TargetChooser::slowdownOf(const Target& target, Duration usual, MonotonicTime now) const
 {
-    OpeningRate& rate = m_openingRates[service];
-    const double elapsed = std::chrono::duration<double>(now - rate.updatedAt) / m_options.openingRateTime;
-    rate.count = rate.count * std::exp(-elapsed) + 1;
-    rate.updatedAt = now;
-    return rate.count / std::chrono::duration<double>(m_options.openingRateTime).count();
+    const double coldFactor = now < target.coldUntil ? m_options.coldFactor : 1;
+    if (target.serviceTime == Duration::zero() || usual == Duration::zero())
+        return coldFactor;
+    const double slowdown = static_cast<double>(target.serviceTime.count()) / static_cast<double>(usual.count());
+    return std::clamp(slowdown * coldFactor, 1.0, m_options.maxSlowdown);
 }
 
 int TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
