placement: admission by requests in progress per slot

Cause: the median response time of the last 32 responses rose to a quarter of a 500 ms target only once the queues were full, and never to that of a 1,500 ms target; at a few responses a second the window was seconds old. Long work without any queue would have been refused.

Change: the signal is this balancer's requests in progress per slot of its data centre's targets, times the balancers of the summary, averaged over 300 ms. The share of the less urgent flows falls between 2.5 and 3 requests per slot, that of the most urgent between 4 and 6. Without a fresh summary nothing is refused. ResponseListener is no longer needed.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -106,7 +106,8 @@
     , m_targets({ .minDrainTime = settings.drainBound }, m_decisions)
     , m_flows({ .capacity = flowCapacityOf(settings) }, m_targets, m_decisions)
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
-    , m_admission({ .seed = hashText(settings.balancer.value(), hashText("admission")) })
+    , m_admission(
+          { .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value(), hashText("admission")) })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
     , m_members(MemberListOptions {}, ownMember(settings))
     , m_view(viewOptionsOf(settings), m_targets, m_router, m_members, log, clock)
@@ -142,7 +143,6 @@
 {
     m_decisions.setView(m_view);
     m_router.setAdmission(&m_admission);
-    m_flows.setResponseListener(&m_admission);
     m_view.onComplete([this] { m_viewTimer.cancel(); });
     m_view.onChange([this] { announceView(); });
     m_view.evacuations().onReadDue([this] { m_evacuationFeed.wake(); });
--- a/packages/placement/include/anvilwalk/placement/AdmissionController.h
+++ b/packages/placement/include/anvilwalk/placement/AdmissionController.h
@@ -1,79 +1,70 @@
 #pragma once
 
-#include <anvilwalk/placement/FlowTracker.h>
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/SharedTargetLoad.h>
+#include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/units.h>
 
 #include <absl/container/flat_hash_map.h>
-#include <array>
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <pcg_random.hpp>
 #include <vector>
 
 namespace anvilwalk {
 
+// Requests in progress per slot up to which all flows are admitted, and from which on none are. The share falls
+// gradually in between.
+struct AdmissionRange {
+    double begin = 0;
+    double end = 1;
+
+    double shareAt(double load) const;
+};
+
 struct AdmissionOptions {
-    // Part of the latency target of a service's most urgent route that half of its responses may take. The slowest
-    // responses take about four times as long as the middle one, and these must meet the target too.
-    double maxMedianShare = 0.25;
-    std::chrono::milliseconds updateInterval { 100 };
-    // Change of the number of admitted priorities in one update. Down in proportion to how far the median response time
-    // is above its limit, at most by maxDecrease; up by a fixed step, so that the load returns gradually.
-    double decreaseGain = 0.3;
-    double maxDecrease = 0.15;
-    double increase = 0.05;
-    // Share of the most urgent flows that is always admitted, so that the end of an overload is noticed.
+    // The load of targets of this data centre counts. Targets elsewhere get flows before these are full, so that full
+    // ones show that there is no room elsewhere either.
+    DataCentreId dataCentre;
+    // One request in work and one waiting keep a slot busy, and half a request is left for uneven targets; more only
+    // wait. Flows of the highest priority are refused only if queues still grow when the others are refused.
+    AdmissionRange lessUrgent { .begin = 2.5, .end = 3 };
+    AdmissionRange mostUrgent { .begin = 4, .end = 6 };
+    // Averages the load, because a balancer has few requests at a time. Several times a response time, and below the
+    // time in which callers notice.
+    std::chrono::milliseconds averagingTime { 300 };
+    // Share of the most urgent flows that is always admitted, so that an error of the estimate stops no service.
     double minAdmitted = 0.1;
-    // Without a response for this long, nothing is known of the load.
-    std::chrono::milliseconds maxSilence { 1000 };
     std::uint64_t seed = 0;
 };
 
-// Refuses new flows of a service whose targets lack room, the routes of lowest priority first. Targets that lack room
-// queue requests, so the signal is what callers get: the median of the last response times of all targets of the
-// service, in whichever data centre. Some slow or failed targets do not move it. Each balancer decides by its own
-// responses; without them, nothing is refused.
-class AdmissionController final : public ResponseListener {
+// Refuses new flows of a service whose targets have no room, the routes of lowest priority first. Targets without room
+// queue requests, so the signal is the number of requests in progress per slot. Each balancer decides alone: it counts
+// its own requests and takes the others in the load summary to have as many each. Without a summary nothing is refused.
+class AdmissionController {
 public:
     explicit AdmissionController(const AdmissionOptions&);
 
-    // Sets the routes whose priorities and latency targets count.
+    // Sets the routes whose priorities count.
     void setRoutes(const RouteTable&);
-    // Returns whether a new flow of a route may be opened at a target of a service.
-    bool admit(const Route&, const ServiceName&, MonotonicTime now);
-    void onResponse(const ServiceName&, Duration) override;
+    // Returns whether a new flow of a route may be opened at a service with these targets.
+    bool admit(
+        const Route&, const ServiceName&, const std::vector<Target*>&, const SharedLoadStatus&, MonotonicTime now);
     // Number of priorities of a service that are admitted, the last one in part; 0 if the service is not controlled.
     double admittedPriorities(const ServiceName&) const;
     std::uint64_t refused() const { return m_refused; }
 
 private:
-    // The last response times of a service.
-    struct ResponseWindow {
-        static constexpr std::size_t size = 32;
-        std::array<Duration, size> times {};
-        std::size_t count = 0;
-        // Responses since the last update.
-        std::size_t added = 0;
-
-        void add(Duration);
-        Duration median() const;
-    };
     struct ServiceState {
         // Priorities of the routes to the service, the most urgent first.
         std::vector<std::uint32_t> priorities;
-        // Shortest latency target of the routes of the most urgent priority.
-        std::chrono::milliseconds latencyTarget { 0 };
-        ResponseWindow responses;
-        double admitted = 1;
+        // Moving average of the requests in progress per slot, by all balancers.
+        double load = 0;
         MonotonicTime updatedAt;
-        MonotonicTime respondedAt;
     };
 
-    static void addRoute(ServiceState&, const Route&);
-    void update(ServiceState&, MonotonicTime now) const;
+    double admittedOf(const ServiceState&) const;
+    double currentLoad(const std::vector<Target*>&, const SharedLoadStatus&) const;
 
     AdmissionOptions m_options;
     pcg32 m_random;
--- a/packages/placement/include/anvilwalk/placement/FlowTracker.h
+++ b/packages/placement/include/anvilwalk/placement/FlowTracker.h
@@ -35,14 +35,6 @@
     void add(FlowToken);
 };
 
-// Learns of each response that a client has acknowledged.
-class ResponseListener {
-public:
-    virtual ~ResponseListener() = default;
-
-    virtual void onResponse(const ServiceName&, Duration) = 0;
-};
-
 // Tracks the flows forwarded by this balancer to estimate the load of each target. The estimate is used only to choose
 // targets for new flows; forwarding an open flow does not depend on it.
 class FlowTracker {
@@ -59,8 +51,6 @@
     void recordOpening(const FlowKey&, FlowToken, MonotonicTime now);
     // Records any later packet that is forwarded to the flow's target.
     void recordPacket(const PacketFields&, Target&, MonotonicTime now);
-    // Sets what is told of each response besides the observer; null for nothing.
-    void setResponseListener(ResponseListener* listener) { m_listener = listener; }
     // Sets the time without a packet after which an open flow is removed.
     void setIdleTimeout(std::chrono::milliseconds timeout) { m_idleTimeout = timeout; }
     // Removes idle flows and ends the requests that have timed out.
@@ -98,7 +88,6 @@
     std::chrono::milliseconds m_idleTimeout { 15'000 };
     TargetCatalogue& m_targets;
     absl::flat_hash_map<FlowKey, Flow, FlowKeyHash> m_flows;
-    ResponseListener* m_listener = nullptr;
 };
 
 } // namespace anvilwalk
--- a/packages/placement/src/AdmissionController.cpp
+++ b/packages/placement/src/AdmissionController.cpp
@@ -1,24 +1,24 @@
 #include <anvilwalk/placement/AdmissionController.h>
+#include <anvilwalk/placement/FlowTracker.h>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
 namespace anvilwalk {
 
-void AdmissionController::ResponseWindow::add(Duration time)
-{
-    times[count % size] = time;
-    ++count;
-    ++added;
-}
+namespace {
 
-Duration AdmissionController::ResponseWindow::median() const
-{
-    std::array<Duration, size> sorted = times;
-    std::nth_element(sorted.begin(), sorted.begin() + size / 2, sorted.end());
-    return sorted[size / 2];
-}
+    bool acceptsFlows(const Target& target)
+    {
+        return target.presence == TargetPresence::Listed && target.record.state == TargetState::Ready
+            && !target.evacuated && !target.tokenCollides && target.activity.suspicionLevel < suspicionThreshold;
+    }
+
+} // namespace
+
+double AdmissionRange::shareAt(double load) const { return std::clamp((end - load) / (end - begin), 0.0, 1.0); }
 
 AdmissionController::AdmissionController(const AdmissionOptions& options)
     : m_options(options)
@@ -32,90 +32,72 @@
     if (routes.sharesLoad() && routes.hasPriorities()) {
         for (const Route& route : routes.routes()) {
             for (const WeightedService& choice : route.services)
-                addRoute(services[choice.service], route);
+                services[choice.service].priorities.push_back(route.priority);
         }
     }
-    absl::erase_if(services, [](const auto& entry) {
-        return entry.second.priorities.size() < 2 || entry.second.latencyTarget == std::chrono::milliseconds::zero();
-    });
     for (auto& [name, state] : services) {
-        state.admitted = static_cast<double>(state.priorities.size());
+        std::sort(state.priorities.begin(), state.priorities.end());
+        state.priorities.erase(std::unique(state.priorities.begin(), state.priorities.end()), state.priorities.end());
         // A new configuration does not end an overload.
         const auto known = m_services.find(name);
-        if (known != m_services.end() && known->second.priorities == state.priorities) {
-            const auto latencyTarget = state.latencyTarget;
-            state = known->second;
-            state.latencyTarget = latencyTarget;
-        }
+        if (known == m_services.end())
+            continue;
+        state.load = known->second.load;
+        state.updatedAt = known->second.updatedAt;
     }
+    absl::erase_if(services, [](const auto& entry) { return entry.second.priorities.size() < 2; });
     m_services = std::move(services);
 }
 
-void AdmissionController::addRoute(ServiceState& state, const Route& route)
-{
-    auto& priorities = state.priorities;
-    const bool mostUrgent = priorities.empty() || route.priority < priorities.front();
-    const bool sharesMostUrgent = !priorities.empty() && route.priority == priorities.front();
-    if (mostUrgent)
-        state.latencyTarget = route.latencyTarget;
-    else if (sharesMostUrgent)
-        state.latencyTarget = std::min(state.latencyTarget, route.latencyTarget);
-    const auto at = std::lower_bound(priorities.begin(), priorities.end(), route.priority);
-    if (at == priorities.end() || *at != route.priority)
-        priorities.insert(at, route.priority);
-}
-
-void AdmissionController::onResponse(const ServiceName& service, Duration time)
-{
-    const auto found = m_services.find(service);
-    if (found != m_services.end())
-        found->second.responses.add(time);
-}
-
-bool AdmissionController::admit(const Route& route, const ServiceName& service, MonotonicTime now)
+bool AdmissionController::admit(const Route& route, const ServiceName& service, const std::vector<Target*>& targets,
+    const SharedLoadStatus& sharedLoad, MonotonicTime now)
 {
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return true;
     ServiceState& state = found->second;
-    if (now - state.updatedAt >= m_options.updateInterval)
-        update(state, now);
+    if (!sharedLoad.fresh) {
+        state.load = 0;
+        state.updatedAt = now;
+        return true;
+    }
+    const double elapsed
+        = std::chrono::duration<double>(now - std::exchange(state.updatedAt, now)) / m_options.averagingTime;
+    const double load = currentLoad(targets, sharedLoad);
+    state.load = load + (state.load - load) * std::exp(-elapsed);
     const auto rank = std::lower_bound(state.priorities.begin(), state.priorities.end(), route.priority);
     const auto moreUrgent = static_cast<double>(rank - state.priorities.begin());
-    const double share = std::clamp(state.admitted - moreUrgent, 0.0, 1.0);
+    const double share = std::clamp(admittedOf(state) - moreUrgent, 0.0, 1.0);
     if (share >= 1 || std::uniform_real_distribution<double>()(m_random) < share)
         return true;
     ++m_refused;
     return false;
 }
 
-void AdmissionController::update(ServiceState& state, MonotonicTime now) const
+double AdmissionController::currentLoad(const std::vector<Target*>& targets, const SharedLoadStatus& sharedLoad) const
 {
-    const auto all = static_cast<double>(state.priorities.size());
-    const Duration elapsed = now - std::exchange(state.updatedAt, now);
-    if (std::exchange(state.responses.added, 0) > 0)
-        state.respondedAt = now;
-    if (state.responses.count < ResponseWindow::size || now - state.respondedAt >= m_options.maxSilence) {
-        state.responses.count = 0;
-        state.admitted = all;
-        return;
-    }
-    const Duration limit
-        = std::chrono::duration_cast<Duration>(Duration(state.latencyTarget) * m_options.maxMedianShare);
-    const double excess = std::chrono::duration<double>(state.responses.median() - limit) / limit;
-    if (excess > 0) {
-        const double decrease = std::min(excess * m_options.decreaseGain, m_options.maxDecrease);
-        state.admitted = std::max(state.admitted - decrease, m_options.minAdmitted);
-        return;
+    double busy = 0;
+    double slots = 0;
+    for (const Target* target : targets) {
+        if (target->record.dataCentre != m_options.dataCentre || !acceptsFlows(*target))
+            continue;
+        busy += target->activity.requestsInProgress + target->activity.pendingOpenings;
+        slots += std::max<std::uint32_t>(target->record.slots, 1);
     }
-    const double intervals = std::chrono::duration<double>(elapsed) / m_options.updateInterval;
-    state.admitted = std::min(state.admitted + m_options.increase * intervals, all);
+    return slots == 0 ? 0 : busy * sharedLoad.balancers / slots;
+}
+
+double AdmissionController::admittedOf(const ServiceState& state) const
+{
+    const auto lessUrgent = static_cast<double>(state.priorities.size() - 1);
+    return lessUrgent * m_options.lessUrgent.shareAt(state.load) + m_options.minAdmitted
+        + (1 - m_options.minAdmitted) * m_options.mostUrgent.shareAt(state.load);
 }
 
 double AdmissionController::admittedPriorities(const ServiceName& service) const
 {
     const auto found = m_services.find(service);
-    return found == m_services.end() ? 0 : found->second.admitted;
+    return found == m_services.end() ? 0 : admittedOf(found->second);
 }
 
 } // namespace anvilwalk
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -96,7 +96,7 @@
     const TriedTargets tried = m_flows.triedTargets(fields.key);
     // A target may have accepted the flow of a copy that was forwarded before.
     const bool isNew = tried.count == 0 && fields.openingCopy == 0;
-    if (isNew && m_admission != nullptr && !m_admission->admit(*route, service, now))
+    if (isNew && m_admission != nullptr && !m_admission->admit(*route, service, targets, m_targets.sharedLoad(), now))
         return reset(fields, DropReason::NewFlowLimit);
     const Target* target = m_chooser.choose(targets, tried, now, m_targets.sharedLoad());
     if (target == nullptr)
