--- a/packages/placement/include/anvilwalk/placement/AdmissionController.h
+++ b/packages/placement/include/anvilwalk/placement/AdmissionController.h
@@ -32,7 +32,7 @@
     AdmissionRange mostUrgent { .begin = 4, .end = 6 };
     // Averages the load, because a balancer has few requests at a time. Several times a response time, and below the
     // time in which callers notice.
-    std::chrono::milliseconds averagingTime { 300 };
+    std::chrono::milliseconds averagingTime { 400 };
     // Share of the most urgent flows that is always admitted, so that an error of the estimate stops no service.
     double minAdmitted = 0.1;
     std::uint64_t seed = 0;
