where: show where a new connection would go, and why

Cause: an operator cannot see which target a balancer would choose for a connection, or why it avoids one, without sending traffic.

Change: TargetChooser::explain and TokenRouter::explain give rank, reason, loads and the probability of each target without a change of state; the choice by room runs in a copy of the chooser. anvilwalk-edge answers /v1/where/CLIENT/SERVICE at its metrics address; the command anvilwalk where prints a table or the JSON answer.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -2,6 +2,7 @@
 
 #include "EdgeMetrics.h"
 #include "EdgeTiming.h"
+#include "WhereAnswer.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -123,11 +124,7 @@
               return HttpReply { .status = isReady() ? ready : notReady };
           })
     , m_metricsServer({ .address = settings.metricsAddress }, context,
-          [this](std::string_view requestPath) -> std::optional<HttpReply> {
-              if (requestPath != metricsPath)
-                  return std::nullopt;
-              return HttpReply { .body = currentMetrics() };
-          })
+          [this](std::string_view path) { return handleMetricsRequest(path); })
     , m_targetFeed(targetFeedOptions(settings), context, platform.targets, m_view.targetObserver(), clock)
     , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver(), clock)
     , m_evacuationFeed({ .seed = hashText(settings.balancer.value(), hashText("evacuations")) }, context,
@@ -305,6 +302,44 @@
     return m_encodedView->body;
 }
 
+std::optional<HttpReply> EdgeBalancer::handleMetricsRequest(std::string_view path) const
+{
+    constexpr unsigned badRequest = 400;
+    if (path == metricsPath)
+        return HttpReply { .body = currentMetrics() };
+    if (!path.starts_with(wherePrefix))
+        return std::nullopt;
+    const auto query = parseWherePath(path);
+    if (!query)
+        return HttpReply { .status = badRequest,
+            .body = "the path must be /v1/where/CLIENT/SERVICE, both as address:port\n",
+            .contentType = "text/plain" };
+    return HttpReply { .body = explainPlacement(*query), .contentType = "application/json" };
+}
+
+std::string EdgeBalancer::explainPlacement(const WhereQuery& query) const
+{
+    const MonotonicTime now = m_clock.now();
+    const FlowKey flow { .source = query.client.address,
+        .destination = query.service.address,
+        .sourcePort = query.client.port,
+        .destinationPort = query.service.port };
+    // An input that was never confirmed has the age of the clock.
+    const auto knownAge
+        = [now](Duration age) { return age < now.time_since_epoch() ? std::optional<Duration>(age) : std::nullopt; };
+    const EvacuationView& evacuations = m_view.evacuations();
+    return encodeWhereAnswer(query, m_router.explain(flow, now),
+        { .balancer = m_settings.balancer,
+            .dataCentre = m_settings.dataCentre,
+            .configVersion = m_router.routes() ? m_router.routes()->version() : ConfigVersion(),
+            .targetsVersion = m_view.targetsVersion(),
+            .targetsAge = knownAge(m_view.targetsAge()),
+            .routesAge = knownAge(m_view.routesAge()),
+            .evacuationsAge = evacuations.isEnabled() ? knownAge(evacuations.age()) : std::nullopt,
+            .evacuatedDataCentres = evacuations.dataCentres(),
+            .now = now });
+}
+
 std::string EdgeBalancer::currentMetrics() const
 {
     return renderMetrics({ .router = m_router.counters(),
--- a/apps/anvilwalk-edge/EdgeBalancer.h
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -71,6 +71,9 @@
     void onRelayStatus(const Member&, const ViewStatus&) override;
     void announceView();
     std::string currentMetrics() const;
+    // Answers metrics and queries for the target of a new connection; nullopt for other paths.
+    std::optional<HttpReply> handleMetricsRequest(std::string_view path) const;
+    std::string explainPlacement(const WhereQuery&) const;
 
     EdgeSettings m_settings;
     boost::asio::io_context& m_context;
--- a/apps/anvilwalk/ExitCode.h
+++ b/apps/anvilwalk/ExitCode.h
@@ -18,8 +18,9 @@
     Overtaken = 6,
     // Accepted, but not reported in force by every balancer before the timeout.
     NotYetInForce = 7,
-    // The output has missing or outdated parts, or there was nothing to print.
+    // The output has missing or outdated parts, there was nothing to print, or the connection would be refused.
     Incomplete = 8,
+    // The store, or the balancer that was asked, gave no usable answer.
     StoreUnavailable = 9,
 };
 
--- a/apps/anvilwalk/main.cpp
+++ b/apps/anvilwalk/main.cpp
@@ -22,6 +22,7 @@
   anvilwalk status            show which version is in force where, and what is missing
   anvilwalk report            show flows, refusals, drops and imbalance of every service
   anvilwalk explain ID FILE.. print the log events of a request or flow from anvilwalk-edge logs, in order of time
+  anvilwalk where             show where a balancer would send a new connection now, and why; sends nothing to it
 
 DIR is a service file or a directory that is searched for files named anvilwalk.toml or NAME.anvilwalk.toml.
 Run anvilwalk COMMAND --help for the options of a command.
@@ -40,8 +41,9 @@
   5  it is not known whether the change is in force
   6  the change was in force and has been replaced by another publish
   7  accepted, but not reported in force by every balancer before the timeout (--wait)
-  8  the output has missing or outdated parts (status, report); nothing found (explain)
-  9  the platform could not be read (status, report)
+  8  the output has missing or outdated parts (status, report); nothing found (explain); the
+     connection would be refused (where)
+  9  the platform could not be read (status, report); the balancer could not be asked (where)
 )";
 
 using Command = std::function<ExitCode(const CommandOptions&)>;
@@ -61,6 +63,7 @@
         { "status", { "Shows which version is in force where, and what is missing.", false, true, runStatus } },
         { "report", { "Shows the figures of every service (docs/report.md).", false, true, runReport } },
         { "explain", { "Prints the log events of a request or flow, in order of time.", true, false, runExplain } },
+        { "where", { "Shows where a balancer would send a new connection now, and why.", false, false, runWhere } },
     };
     return entries;
 }
@@ -89,10 +92,16 @@
     if (entry.takesPlatform)
         add("platform", "URL of the platform's object API, http://ADDRESS:PORT (default: $ANVILWALK_PLATFORM)",
             cxxopts::value<std::string>());
+    if (name == "publish" || name == "where")
+        add("json", "print the result as JSON");
+    if (name == "where") {
+        add("balancer", "metrics address of an anvilwalk-edge, ADDRESS:PORT", cxxopts::value<std::string>());
+        add("client", "source of the connection, ADDRESS:PORT", cxxopts::value<std::string>());
+        add("service", "address that the client connects to, ADDRESS:PORT", cxxopts::value<std::string>());
+    }
     if (name == "publish") {
         add("dry-run", "show what would change and write nothing");
         add("wait", "wait until the version is in force on every balancer");
-        add("json", "print the result as JSON");
         add("operator", "name that the publish is recorded under (default: $USER)", cxxopts::value<std::string>());
         add("timeout", "time after which the command gives up, for example 30s",
             cxxopts::value<std::string>()->default_value("30s"));
@@ -151,6 +160,15 @@
             return std::nullopt;
         }
     }
+    if (name == "where") {
+        const auto text = [&](const char* option) {
+            return result.count(option) > 0 ? result[option].as<std::string>() : std::string();
+        };
+        options.balancer = text("balancer");
+        options.client = text("client");
+        options.service = text("service");
+        options.json = result.count("json") > 0;
+    }
     if (name == "report") {
         const auto interval = readDuration(result, "over");
         if (!interval)
--- a/packages/discovery/include/anvilwalk/discovery.h
+++ b/packages/discovery/include/anvilwalk/discovery.h
@@ -13,3 +13,4 @@
 #include <anvilwalk/discovery/StoreFeed.h>
 #include <anvilwalk/discovery/StoreReader.h>
 #include <anvilwalk/discovery/ViewSnapshot.h>
+#include <anvilwalk/discovery/WherePath.h>
--- a/packages/placement/include/anvilwalk/placement.h
+++ b/packages/placement/include/anvilwalk/placement.h
@@ -5,6 +5,7 @@
 
 #include <anvilwalk/placement/AdmissionController.h>
 #include <anvilwalk/placement/FlowTracker.h>
+#include <anvilwalk/placement/PlacementExplanation.h>
 #include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/SharedTargetLoad.h>
--- a/packages/placement/include/anvilwalk/placement/AdmissionController.h
+++ b/packages/placement/include/anvilwalk/placement/AdmissionController.h
@@ -47,6 +47,8 @@
     void onResponse(const ServiceName&, Duration) override;
     // Number of priorities of a service that are admitted, the last one in part; 0 if the service is not controlled.
     double admittedPriorities(const ServiceName&) const;
+    // Probability that admit() would let a new flow pass, by the last update.
+    double admittedShare(const Route&, const ServiceName&) const;
     std::uint64_t refused() const { return m_refused; }
 
 private:
@@ -73,6 +75,7 @@
     };
 
     static void addRoute(ServiceState&, const Route&);
+    static double shareOf(const ServiceState&, const Route&);
     void update(ServiceState&, MonotonicTime now) const;
 
     AdmissionOptions m_options;
--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <anvilwalk/placement/FlowTracker.h>
+#include <anvilwalk/placement/PlacementExplanation.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/units.h>
 
@@ -51,6 +52,10 @@
     // Returns the target for a new flow, preferring targets not yet tried for it. Null if no target accepts new flows.
     Target* choose(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus& = {});
 
+    // Explains the choice that choose() would make for these arguments. Changes no state.
+    std::vector<TargetExplanation> explain(
+        const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus& = {}) const;
+
 private:
     // A target with the best rank among those that a flow may go to.
     struct Candidate {
@@ -72,13 +77,25 @@
     Target* chooseByRoom(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus&);
     // Fills m_candidates, the least loaded first.
     void collectCandidates(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now);
+    // Computes the loads and the capacity of a target; usual is the response time of a target of usual speed.
+    Candidate candidateFor(Target&, Duration usual, MonotonicTime now) const;
+    // Removes the candidates whose own load exceeds the least one. Returns the load below which room is counted.
+    double narrowCandidates(MonotonicTime now, const SharedLoadStatus&);
+    static double roomOf(const Candidate&, double level);
+    void explainLeastLoaded(const std::vector<Target*>&, MonotonicTime now, std::vector<TargetExplanation>&) const;
+    void explainByRoom(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus&,
+        std::vector<TargetExplanation>&) const;
     // Picks one of m_candidates at random, weighted by its room below a load.
     Target* pickByRoom(double level);
     // Returns the load up to which a number of requests fills the least loaded candidates.
     double fillLevel(double requests) const;
     // Returns the flows per second that this balancer opens at a service, the one being placed included.
     double recordOpening(const ServiceName&, MonotonicTime now);
-    int rankOf(const Target&, const TriedTargets&, MonotonicTime now) const;
+    TargetRank rankOf(const Target&, const TriedTargets&, MonotonicTime now) const;
+    TargetRankReason rankReasonOf(const Target&, const TriedTargets&, MonotonicTime now) const;
+    // Returns the shortest recent response time as this balancer measures it.
+    Duration fastestOf(const std::vector<Target*>&, MonotonicTime now) const;
+    double slowdownOf(const Target&, Duration fastest, MonotonicTime now) const;
     double loadOf(const Target&, Duration fastest, MonotonicTime now) const;
     double sharedSlowdownOf(const Target&, Duration usual, MonotonicTime now) const;
     bool isBackedOff(const Target&, MonotonicTime now) const;
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -2,6 +2,7 @@
 
 #include <anvilwalk/placement/AdmissionController.h>
 #include <anvilwalk/placement/FlowTracker.h>
+#include <anvilwalk/placement/PlacementExplanation.h>
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/placement/TargetChooser.h>
@@ -64,6 +65,8 @@
     std::optional<MonotonicTime> currentAnswerDue() const;
 
     Decision route(const PacketView&, MonotonicTime now) override;
+    // Explains where an opening packet of a flow would go now. Counts, logs and tracks nothing.
+    PlacementExplanation explain(const FlowKey&, MonotonicTime now) const;
     void expire(MonotonicTime now);
     const TokenRouterCounters& counters() const { return m_counters; }
 
--- a/packages/placement/src/AdmissionController.cpp
+++ b/packages/placement/src/AdmissionController.cpp
@@ -80,15 +80,26 @@
     ServiceState& state = found->second;
     if (now - state.updatedAt >= m_options.updateInterval)
         update(state, now);
-    const auto rank = std::lower_bound(state.priorities.begin(), state.priorities.end(), route.priority);
-    const auto moreUrgent = static_cast<double>(rank - state.priorities.begin());
-    const double share = std::clamp(state.admitted - moreUrgent, 0.0, 1.0);
+    const double share = shareOf(state, route);
     if (share >= 1 || std::uniform_real_distribution<double>()(m_random) < share)
         return true;
     ++m_refused;
     return false;
 }
 
+double AdmissionController::shareOf(const ServiceState& state, const Route& route)
+{
+    const auto rank = std::lower_bound(state.priorities.begin(), state.priorities.end(), route.priority);
+    const auto moreUrgent = static_cast<double>(rank - state.priorities.begin());
+    return std::clamp(state.admitted - moreUrgent, 0.0, 1.0);
+}
+
+double AdmissionController::admittedShare(const Route& route, const ServiceName& service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 1 : shareOf(found->second, route);
+}
+
 void AdmissionController::update(ServiceState& state, MonotonicTime now) const
 {
     const auto all = static_cast<double>(state.priorities.size());
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -15,16 +15,6 @@
     // Prevents overflow of the backoff time.
     constexpr std::uint32_t maxBackoffDoublings = 16;
 
-    // Rank of a target, compared before its load; lower is better.
-    enum Rank : int {
-        Responsive = 0,
-        // Did not respond to recent packets, or its entry is missing.
-        Degraded = 1,
-        // This opening packet was already sent there.
-        Tried = 2,
-        Unusable = 3,
-    };
-
     bool hasRecentResponseTime(const TargetActivity& activity, std::chrono::milliseconds maxAge, MonotonicTime now)
     {
         return activity.responseTime > Duration::zero() && now - activity.lastResponse < maxAge;
@@ -60,18 +50,14 @@
 Target* TargetChooser::chooseLeastLoaded(
     const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
 {
-    Duration fastest = Duration::max();
-    for (const Target* target : targets) {
-        if (hasRecentResponseTime(target->activity, m_options.responseTimeMaxAge, now))
-            fastest = std::min(fastest, target->activity.responseTime);
-    }
+    const Duration fastest = fastestOf(targets, now);
     Target* best = nullptr;
-    int bestRank = Unusable;
+    TargetRank bestRank = TargetRank::Unusable;
     double bestLoad = std::numeric_limits<double>::max();
     std::uint32_t tieCount = 0;
     for (Target* target : targets) {
-        const int rank = rankOf(*target, tried, now);
-        if (rank == Unusable || rank > bestRank)
+        const TargetRank rank = rankOf(*target, tried, now);
+        if (rank == TargetRank::Unusable || rank > bestRank)
             continue;
         const double load = loadOf(*target, fastest, now);
         const bool better = rank < bestRank || load < bestLoad - loadTolerance;
@@ -94,6 +80,11 @@
     collectCandidates(targets, tried, now);
     if (m_candidates.empty())
         return nullptr;
+    return pickByRoom(narrowCandidates(now, sharedLoad));
+}
+
+double TargetChooser::narrowCandidates(MonotonicTime now, const SharedLoadStatus& sharedLoad)
+{
     const double openingsPerSecond = recordOpening(m_candidates.front().target->record.service, now);
     const double age = std::chrono::duration<double>(now - sharedLoad.takenAt).count();
     const double othersOpenings = openingsPerSecond * age * (sharedLoad.balancers - 1);
@@ -103,17 +94,22 @@
         leastOwnLoad = std::min(leastOwnLoad, candidate.ownLoad);
     const double maxOwnLoad = leastOwnLoad * (1 + m_options.ownLoadTolerance);
     std::erase_if(m_candidates, [=](const Candidate& candidate) { return candidate.ownLoad > maxOwnLoad; });
-    return pickByRoom(level);
+    return level;
+}
+
+double TargetChooser::roomOf(const Candidate& candidate, double level)
+{
+    return std::max(level - candidate.load, 0.0) * candidate.capacity;
 }
 
 Target* TargetChooser::pickByRoom(double level)
 {
     double room = 0;
     for (const Candidate& candidate : m_candidates)
-        room += std::max(level - candidate.load, 0.0) * candidate.capacity;
+        room += roomOf(candidate, level);
     double position = std::uniform_real_distribution<double>(0, room)(m_random);
     for (const Candidate& candidate : m_candidates) {
-        position -= std::max(level - candidate.load, 0.0) * candidate.capacity;
+        position -= roomOf(candidate, level);
         if (position < 0)
             return candidate.target;
     }
@@ -125,12 +121,12 @@
 {
     m_candidates.clear();
     m_responseTimes.clear();
-    int bestRank = Unusable;
+    TargetRank bestRank = TargetRank::Unusable;
     for (Target* target : targets) {
         if (target->shared.responseTime > Duration::zero())
             m_responseTimes.push_back(target->shared.responseTime);
-        const int rank = rankOf(*target, tried, now);
-        if (rank == Unusable || rank > bestRank)
+        const TargetRank rank = rankOf(*target, tried, now);
+        if (rank == TargetRank::Unusable || rank > bestRank)
             continue;
         if (rank < bestRank)
             m_candidates.clear();
@@ -138,24 +134,101 @@
         m_candidates.push_back({ .target = target });
     }
     const Duration usual = lowQuantile(m_responseTimes);
-    for (Candidate& candidate : m_candidates) {
-        const Target& target = *candidate.target;
-        const double ownBusy = target.activity.requestsInProgress + target.activity.pendingOpenings;
-        const double busy = ownBusy + target.shared.requestsInProgress;
-        const double ownIdle = std::max(target.activity.openFlows - ownBusy, 0.0);
-        const double idle = std::max(target.activity.openFlows + target.shared.openFlows - busy, 0.0);
-        candidate.capacity = std::max<std::uint32_t>(target.record.slots, 1) / sharedSlowdownOf(target, usual, now);
-        candidate.ownLoad = (ownBusy + 1 + ownIdle * m_options.idleFlowLoad) / candidate.capacity;
-        candidate.load = (busy + idle * m_options.idleFlowLoad) / candidate.capacity;
-        if (target.record.dataCentre != m_options.dataCentre) {
-            candidate.ownLoad += m_options.remotePenalty;
-            candidate.load += m_options.remotePenalty;
-        }
-    }
+    for (Candidate& candidate : m_candidates)
+        candidate = candidateFor(*candidate.target, usual, now);
     std::sort(m_candidates.begin(), m_candidates.end(),
         [](const Candidate& a, const Candidate& b) { return a.load < b.load; });
 }
 
+TargetChooser::Candidate TargetChooser::candidateFor(Target& target, Duration usual, MonotonicTime now) const
+{
+    Candidate candidate { .target = &target };
+    const double ownBusy = target.activity.requestsInProgress + target.activity.pendingOpenings;
+    const double busy = ownBusy + target.shared.requestsInProgress;
+    const double ownIdle = std::max(target.activity.openFlows - ownBusy, 0.0);
+    const double idle = std::max(target.activity.openFlows + target.shared.openFlows - busy, 0.0);
+    candidate.capacity = std::max<std::uint32_t>(target.record.slots, 1) / sharedSlowdownOf(target, usual, now);
+    candidate.ownLoad = (ownBusy + 1 + ownIdle * m_options.idleFlowLoad) / candidate.capacity;
+    candidate.load = (busy + idle * m_options.idleFlowLoad) / candidate.capacity;
+    if (target.record.dataCentre != m_options.dataCentre) {
+        candidate.ownLoad += m_options.remotePenalty;
+        candidate.load += m_options.remotePenalty;
+    }
+    return candidate;
+}
+
+std::vector<TargetExplanation> TargetChooser::explain(const std::vector<Target*>& targets, const TriedTargets& tried,
+    MonotonicTime now, const SharedLoadStatus& sharedLoad) const
+{
+    std::vector<TargetExplanation> explanations;
+    explanations.reserve(targets.size());
+    for (const Target* target : targets) {
+        const TargetRankReason reason = rankReasonOf(*target, tried, now);
+        explanations.push_back({ .target = target,
+            .rank = rankFor(reason),
+            .reason = reason,
+            .remote = target->record.dataCentre != m_options.dataCentre });
+    }
+    if (sharedLoad.fresh)
+        explainByRoom(targets, tried, now, sharedLoad, explanations);
+    else
+        explainLeastLoaded(targets, now, explanations);
+    return explanations;
+}
+
+void TargetChooser::explainLeastLoaded(
+    const std::vector<Target*>& targets, MonotonicTime now, std::vector<TargetExplanation>& explanations) const
+{
+    const Duration fastest = fastestOf(targets, now);
+    TargetRank bestRank = TargetRank::Unusable;
+    for (TargetExplanation& explanation : explanations) {
+        explanation.slowdown = slowdownOf(*explanation.target, fastest, now);
+        explanation.ownLoad = loadOf(*explanation.target, fastest, now);
+        bestRank = std::min(bestRank, explanation.rank);
+    }
+    if (bestRank == TargetRank::Unusable)
+        return;
+    double leastLoad = std::numeric_limits<double>::max();
+    for (const TargetExplanation& explanation : explanations) {
+        if (explanation.rank == bestRank)
+            leastLoad = std::min(leastLoad, explanation.ownLoad);
+    }
+    const auto isChosen = [=](const TargetExplanation& explanation) {
+        return explanation.rank == bestRank && explanation.ownLoad <= leastLoad + loadTolerance;
+    };
+    const auto chosen = std::count_if(explanations.begin(), explanations.end(), isChosen);
+    for (TargetExplanation& explanation : explanations)
+        explanation.share = isChosen(explanation) ? 1.0 / static_cast<double>(chosen) : 0;
+}
+
+void TargetChooser::explainByRoom(const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now,
+    const SharedLoadStatus& sharedLoad, std::vector<TargetExplanation>& explanations) const
+{
+    // The choice collects its candidates and counts an opened flow; both happen in a copy.
+    TargetChooser copy(*this);
+    copy.collectCandidates(targets, tried, now);
+    const Duration usual = lowQuantile(copy.m_responseTimes);
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const Candidate candidate = candidateFor(*targets[index], usual, now);
+        explanations[index].slowdown = sharedSlowdownOf(*targets[index], usual, now);
+        explanations[index].ownLoad = candidate.ownLoad;
+        explanations[index].load = candidate.load;
+    }
+    if (copy.m_candidates.empty())
+        return;
+    const double level = copy.narrowCandidates(now, sharedLoad);
+    double room = 0;
+    for (const Candidate& candidate : copy.m_candidates)
+        room += roomOf(candidate, level);
+    for (const Candidate& candidate : copy.m_candidates) {
+        const auto found = std::find(targets.begin(), targets.end(), candidate.target);
+        // Without room, the least loaded candidate is chosen.
+        const bool isLeastLoaded = candidate.target == copy.m_candidates.front().target;
+        explanations[static_cast<std::size_t>(found - targets.begin())].share
+            = room > 0 ? roomOf(candidate, level) / room : (isLeastLoaded ? 1 : 0);
+    }
+}
+
 double TargetChooser::fillLevel(double requests) const
 {
     double level = m_candidates.front().load;
@@ -192,16 +265,30 @@
     return rate.count / std::chrono::duration<double>(m_options.openingRateTime).count();
 }
 
-int TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
+TargetRank TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
 {
-    if (target.tokenCollides || target.evacuated || target.record.state == TargetState::Draining
-        || target.presence == TargetPresence::Gone)
-        return Unusable;
+    return rankFor(rankReasonOf(target, tried, now));
+}
+
+TargetRankReason TargetChooser::rankReasonOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
+{
+    if (target.tokenCollides)
+        return TargetRankReason::TokenCollision;
+    if (target.evacuated)
+        return TargetRankReason::Evacuated;
+    if (target.record.state == TargetState::Draining)
+        return TargetRankReason::Draining;
+    if (target.presence == TargetPresence::Gone)
+        return TargetRankReason::Gone;
     if (tried.contains(target.token))
-        return Tried;
-    if (target.presence == TargetPresence::Missing || isBackedOff(target, now) || isSilentForOthers(target))
-        return Degraded;
-    return Responsive;
+        return TargetRankReason::AlreadyTried;
+    if (target.presence == TargetPresence::Missing)
+        return TargetRankReason::Missing;
+    if (isBackedOff(target, now))
+        return TargetRankReason::Suspected;
+    if (isSilentForOthers(target))
+        return TargetRankReason::SilentForOthers;
+    return TargetRankReason::None;
 }
 
 bool TargetChooser::isSilentForOthers(const Target& target) const
@@ -223,6 +310,25 @@
     return now - activity.lastUnanswered < backoff || activity.pendingOpenings > 0;
 }
 
+Duration TargetChooser::fastestOf(const std::vector<Target*>& targets, MonotonicTime now) const
+{
+    Duration fastest = Duration::max();
+    for (const Target* target : targets) {
+        if (hasRecentResponseTime(target->activity, m_options.responseTimeMaxAge, now))
+            fastest = std::min(fastest, target->activity.responseTime);
+    }
+    return fastest;
+}
+
+double TargetChooser::slowdownOf(const Target& target, Duration fastest, MonotonicTime now) const
+{
+    const TargetActivity& activity = target.activity;
+    if (hasRecentResponseTime(activity, m_options.responseTimeMaxAge, now) && fastest > Duration::zero())
+        return std::clamp(static_cast<double>(activity.responseTime.count()) / static_cast<double>(fastest.count()),
+            1.0, m_options.maxSlowdown);
+    return now < target.coldUntil ? m_options.coldFactor : 1;
+}
+
 double TargetChooser::loadOf(const Target& target, Duration fastest, MonotonicTime now) const
 {
     const TargetActivity& activity = target.activity;
@@ -231,13 +337,7 @@
         = activity.openFlows > activity.requestsInProgress ? activity.openFlows - activity.requestsInProgress : 0;
     double load
         = (inProgress + 1 + idleFlows * m_options.idleFlowLoad) / std::max<std::uint32_t>(target.record.slots, 1);
-    if (hasRecentResponseTime(activity, m_options.responseTimeMaxAge, now) && fastest > Duration::zero()) {
-        const double slowdown
-            = static_cast<double>(activity.responseTime.count()) / static_cast<double>(fastest.count());
-        load *= std::clamp(slowdown, 1.0, m_options.maxSlowdown);
-    } else if (now < target.coldUntil) {
-        load *= m_options.coldFactor;
-    }
+    load *= slowdownOf(target, fastest, now);
     if (target.record.dataCentre != m_options.dataCentre)
         load += m_options.remotePenalty;
     return load;
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -109,6 +109,33 @@
     return forwardTo(*target);
 }
 
+PlacementExplanation TokenRouter::explain(const FlowKey& key, MonotonicTime now) const
+{
+    PlacementExplanation explanation { .sharedLoad = m_targets.sharedLoad() };
+    if (!m_routes) {
+        explanation.refusal = DropReason::StaleState;
+        return explanation;
+    }
+    explanation.route = m_routes->find(key.serviceAddress());
+    if (explanation.route == nullptr) {
+        explanation.refusal = DropReason::UnknownAddress;
+        return explanation;
+    }
+    explanation.service = pickService(*explanation.route, key);
+    const TriedTargets tried = m_flows.triedTargets(key);
+    if (tried.count == 0 && m_admission != nullptr)
+        explanation.admittedShare = m_admission->admittedShare(*explanation.route, explanation.service);
+    explanation.targets
+        = m_chooser.explain(m_targets.targetsOf(explanation.service), tried, now, explanation.sharedLoad);
+    const bool hasTarget = std::any_of(explanation.targets.begin(), explanation.targets.end(),
+        [](const TargetExplanation& target) { return target.rank != TargetRank::Unusable; });
+    if (explanation.admittedShare <= 0)
+        explanation.refusal = DropReason::NewFlowLimit;
+    else if (!hasTarget)
+        explanation.refusal = DropReason::NoTarget;
+    return explanation;
+}
+
 Decision TokenRouter::routeOpenFlow(const PacketFields& fields, MonotonicTime now)
 {
     if (fields.token == FlowToken())
