placement: limit new flows to targets that warm up

A target's warm-up end also moved back whenever its entry was read again, as the remaining time in an entry is that of its writing.

TargetChooser ranks other cold targets unusable, TokenRouter drops a copy whose only target is held back instead of resetting it. Settings warm_up_factor and warm_up_slack, metrics warm_up_limits and cold_openings_total, log line warm_up_limits. TargetCatalogue keeps the earliest warm-up end of a run and rounds the remaining time up for other balancers. Without limits in the configuration nothing changes.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <vector>
 
 namespace anvilwalk {
 
@@ -108,6 +109,11 @@
     , m_flows({ .capacity = flowCapacityOf(settings) }, m_targets, m_decisions)
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
     , m_admission({ .seed = hashText(settings.balancer.value(), hashText("admission")) })
+    , m_warmUp({ .balancer = settings.balancer,
+          .dataCentre = settings.dataCentre,
+          .factor = settings.warmUpFactor,
+          .slack = settings.warmUpSlack,
+          .startedAt = clock.now() })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
     , m_members(MemberListOptions {}, ownMember(settings))
     , m_view(viewOptionsOf(settings), m_targets, m_router, m_members, log, clock)
@@ -139,6 +145,7 @@
 {
     m_decisions.setView(m_view);
     m_router.setAdmission(&m_admission);
+    m_router.setWarmUpLimiter(&m_warmUp);
     m_flows.setResponseListener(&m_admission);
     m_view.onComplete([this] { m_viewTimer.cancel(); });
     m_view.onChange([this] { announceView(); });
@@ -358,7 +365,9 @@
         .sharedLoad = m_targets.sharedLoad(),
         .sharedLoadAge = m_clock.now() - m_targets.sharedLoad().takenAt,
         .loadMessages = m_loadExchange ? m_loadExchange->counters() : LoadExchangeCounters {},
-        .refusedFlows = m_admission.refused() });
+        .refusedFlows = m_admission.refused(),
+        .warmUpLimits = m_warmUp.limitedServices(),
+        .coldOpenings = m_warmUp.openings() });
 }
 
 asio::awaitable<void> EdgeBalancer::forwardPackets()
@@ -384,12 +393,34 @@
         m_targets.expire(now);
         m_router.expire(now);
         m_view.refresh();
+        updateWarmUpLimiter(now);
         if (m_loadExchange)
             m_loadExchange->setEnabled(m_router.routes() && m_router.routes()->sharesLoad());
         m_log.flush();
     }
 }
 
+void EdgeBalancer::updateWarmUpLimiter(MonotonicTime now)
+{
+    m_warmUp.expire(now);
+    if (m_warmUp.isActive()) {
+        std::vector<BalancerId> members;
+        // Other members do not count a balancer that stops.
+        if (!m_stopping) {
+            for (const Member& member : m_members.localMembers())
+                members.push_back(member.id);
+        }
+        m_warmUp.setMembers(members, now);
+    }
+    const bool isCandidate = m_warmUp.isActive() && m_warmUp.isCandidate(now);
+    if (m_warmUp.limitedServices() == m_loggedWarmUpLimits && isCandidate == m_loggedWarmUpCandidate)
+        return;
+    m_loggedWarmUpLimits = m_warmUp.limitedServices();
+    m_loggedWarmUpCandidate = isCandidate;
+    m_log.write(EventKind::Routes, "warm_up_limits", logField("services", m_loggedWarmUpLimits),
+        logField("opens_flows", isCandidate ? 1 : 0));
+}
+
 asio::awaitable<void> EdgeBalancer::handleSignals()
 {
     for (;;) {
--- a/apps/anvilwalk-edge/EdgeBalancer.h
+++ b/apps/anvilwalk-edge/EdgeBalancer.h
@@ -70,6 +70,8 @@
     OwnMemberState ownMemberState() const override;
     void onRelayStatus(const Member&, const ViewStatus&) override;
     void announceView();
+    // Tells the warm-up limiter who runs, and logs when limits are in force or this balancer's part in them changes.
+    void updateWarmUpLimiter(MonotonicTime now);
     std::string currentMetrics() const;
     // Answers metrics and queries for the target of a new connection; nullopt for other paths.
     std::optional<HttpReply> handleMetricsRequest(std::string_view path) const;
@@ -85,6 +87,7 @@
     FlowTracker m_flows;
     TargetChooser m_chooser;
     AdmissionController m_admission;
+    WarmUpLimiter m_warmUp;
     TokenRouter m_router;
     MemberList m_members;
     RoutingView m_view;
@@ -103,6 +106,9 @@
     // Null if the settings have no address for load reports.
     std::unique_ptr<LoadExchange> m_loadExchange;
     MonotonicTime m_malformedLoadLoggedAt;
+    // What was last logged of the warm-up limits.
+    std::size_t m_loggedWarmUpLimits = 0;
+    bool m_loggedWarmUpCandidate = false;
     PeerViewFeed::PeerList m_seeds;
     struct EncodedView {
         KnownVersions since;
--- a/apps/anvilwalk-edge/EdgeMetrics.cpp
+++ b/apps/anvilwalk-edge/EdgeMetrics.cpp
@@ -116,6 +116,10 @@
         counter("load_messages_malformed_total", "Load messages that are not valid.", sample.loadMessages.malformed),
         counter("load_bytes_sent_total", "Bytes of load reports and summaries sent.", sample.loadMessages.bytesSent),
         counter("refused_flows_total", "New flows refused because their service lacks room.", sample.refusedFlows),
+        gauge("warm_up_limits", "Services that limit new flows to targets in their warm-up time.",
+            static_cast<double>(sample.warmUpLimits)),
+        counter(
+            "cold_openings_total", "Opening packets sent to targets in a limited warm-up time.", sample.coldOpenings),
         counter("log_lines_lost_total", "Log lines that found no room.", sample.logLinesLost),
     };
     return prometheus::TextSerializer().Serialize(families);
--- a/apps/anvilwalk-edge/EdgeMetrics.h
+++ b/apps/anvilwalk-edge/EdgeMetrics.h
@@ -31,6 +31,9 @@
     LoadExchangeCounters loadMessages {};
     // New flows that admission control refused.
     std::uint64_t refusedFlows = 0;
+    // Services with a warm-up limit, and opening packets sent to their targets while these warmed up.
+    std::size_t warmUpLimits = 0;
+    std::uint64_t coldOpenings = 0;
 };
 
 // Renders the metrics in the Prometheus text format (docs/OPERATIONS.md lists them).
--- a/apps/anvilwalk-edge/EdgeSettings.cpp
+++ b/apps/anvilwalk-edge/EdgeSettings.cpp
@@ -14,6 +14,8 @@
     constexpr double maxMemoryMegabytes = 1 << 20;
     constexpr double maxMilliseconds = 3'600'000;
     constexpr double maxStopSeconds = 3600;
+    constexpr double maxWarmUpFactor = 100;
+    constexpr double maxWarmUpSlack = 10'000;
 
     // Reads the sections of a settings file in turn. Unknown sections and keys are reported as errors.
     class EdgeSettingsReader {
@@ -156,6 +158,10 @@
             m_settings.drainBound = readMilliseconds(section, "drain_in_force_ms", m_settings.drainBound);
             if (section.find("evacuation_in_force_ms") != nullptr)
                 m_settings.evacuationBound = readMilliseconds(section, "evacuation_in_force_ms", m_settings.drainBound);
+            m_settings.warmUpFactor
+                = section.decimal("warm_up_factor", 0, maxWarmUpFactor, "1.5").value_or(m_settings.warmUpFactor);
+            m_settings.warmUpSlack
+                = section.decimal("warm_up_slack", 0, maxWarmUpSlack, "5").value_or(m_settings.warmUpSlack);
             m_settings.stableWindow = readMilliseconds(section, "calm_window_ms", m_settings.stableWindow);
             if (const auto seconds = section.decimal("stop_seconds", 0, maxStopSeconds, "6"))
                 m_settings.stopDeadline = std::chrono::milliseconds(static_cast<std::int64_t>(*seconds * 1000));
--- a/apps/anvilwalk-edge/EdgeSettings.h
+++ b/apps/anvilwalk-edge/EdgeSettings.h
@@ -38,6 +38,10 @@
     // Time within which targets of an evacuated data centre must get no new flows; nullopt if operators do not evacuate
     // data centres.
     std::optional<std::chrono::milliseconds> evacuationBound;
+    // In any second, a target that warms up may get the rate of its service's configuration times this factor, plus the
+    // slack.
+    double warmUpFactor = 1;
+    double warmUpSlack = 0;
     // Time without faults after which these bounds apply again.
     std::chrono::milliseconds stableWindow { 4000 };
     // Time from the stop signal until the process is killed.
--- a/packages/placement/include/anvilwalk/placement.h
+++ b/packages/placement/include/anvilwalk/placement.h
@@ -13,3 +13,4 @@
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/placement/TargetChooser.h>
 #include <anvilwalk/placement/TokenRouter.h>
+#include <anvilwalk/placement/WarmUpLimiter.h>
--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -3,6 +3,7 @@
 #include <anvilwalk/placement/FlowTracker.h>
 #include <anvilwalk/placement/PlacementExplanation.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
+#include <anvilwalk/placement/WarmUpLimiter.h>
 #include <anvilwalk/units.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -49,6 +50,8 @@
 public:
     explicit TargetChooser(const TargetChooserOptions&);
 
+    // Sets what limits the flows to targets that warm up; null for nothing.
+    void setWarmUpLimiter(const WarmUpLimiter* limiter) { m_warmUp = limiter; }
     // Returns the target for a new flow, preferring targets not yet tried for it. Null if no target accepts new flows.
     Target* choose(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus& = {});
 
@@ -102,6 +105,7 @@
     bool isSilentForOthers(const Target&) const;
 
     TargetChooserOptions m_options;
+    const WarmUpLimiter* m_warmUp = nullptr;
     pcg32 m_random;
     absl::flat_hash_map<ServiceName, OpeningRate> m_openingRates;
     // Used by one choice; kept to reuse the memory.
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -6,6 +6,7 @@
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/placement/TargetChooser.h>
+#include <anvilwalk/placement/WarmUpLimiter.h>
 #include <anvilwalk/request.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -15,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace anvilwalk {
 
@@ -48,6 +50,8 @@
 
     // Sets what decides on new flows besides the choice of a target; null for nothing.
     void setAdmission(AdmissionController* admission) { m_admission = admission; }
+    // Sets what limits the flows to targets that warm up; null for nothing.
+    void setWarmUpLimiter(WarmUpLimiter*);
     // Applies a route table. Ignored if its version is not newer than the current one.
     void setRoutes(RouteTablePointer);
     const RouteTablePointer& routes() const { return m_routes; }
@@ -72,6 +76,8 @@
 
 private:
     Decision placeNewFlow(const PacketFields&, MonotonicTime now);
+    // Returns whether a target that an opening packet went to is not chosen again only because of its warm-up limit.
+    bool isHeldBackByWarmUp(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now) const;
     Decision routeOpenFlow(const PacketFields&, MonotonicTime now);
     // Returns whether a configuration has withdrawn the route of an open flow. An address without a route alone does
     // not show that: the flow may have been opened at a balancer that has a newer configuration.
@@ -95,6 +101,7 @@
     TargetChooser& m_chooser;
     PlacementObserver& m_observer;
     AdmissionController* m_admission = nullptr;
+    WarmUpLimiter* m_warmUp = nullptr;
     RouteTablePointer m_routes;
     MonotonicTime m_routesConfirmedAt;
     // Addresses whose route was withdrawn while this balancer ran.
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -32,7 +32,8 @@
     if (known && version <= known->version)
         return;
     // A new run starts with empty statistics.
-    if (!known || known->record.startedMs != record.startedMs)
+    const bool isNewRun = !known || known->record.startedMs != record.startedMs;
+    if (isNewRun)
         known = std::make_unique<Target>();
     if (known->record.state != TargetState::Draining)
         known->drainingSince = now;
@@ -41,7 +42,10 @@
     known->version = version;
     known->readVersion = version;
     known->presence = TargetPresence::Listed;
-    known->coldUntil = now + record.coldRemaining;
+    // The remaining time was current when the entry was written, so each reading of a run gives an upper limit of the
+    // end.
+    const MonotonicTime coldUntil = now + record.coldRemaining;
+    known->coldUntil = isNewRun ? coldUntil : std::min(known->coldUntil, coldUntil);
     m_indexCurrent = false;
 }
 
@@ -212,7 +216,8 @@
             .version = target->version,
             .readVersion = target->readVersion,
             .presence = target->presence });
-        const auto cold = std::chrono::duration_cast<std::chrono::milliseconds>(target->coldUntil - now);
+        // Rounded up, so that no balancer takes the target for warm too early.
+        const auto cold = std::chrono::ceil<std::chrono::milliseconds>(target->coldUntil - now);
         changes.targets.back().record.coldRemaining = std::max(cold, std::chrono::milliseconds(0));
     }
     return changes;
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -280,6 +280,8 @@
         return TargetRankReason::Draining;
     if (target.presence == TargetPresence::Gone)
         return TargetRankReason::Gone;
+    if (m_warmUp != nullptr && !m_warmUp->mayOpen(target, now))
+        return TargetRankReason::WarmUpLimit;
     if (tried.contains(target.token))
         return TargetRankReason::AlreadyTried;
     if (target.presence == TargetPresence::Missing)
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -54,6 +54,14 @@
     m_routes = std::move(routes);
     if (m_admission != nullptr)
         m_admission->setRoutes(*m_routes);
+    if (m_warmUp != nullptr)
+        m_warmUp->setRoutes(*m_routes);
+}
+
+void TokenRouter::setWarmUpLimiter(WarmUpLimiter* limiter)
+{
+    m_warmUp = limiter;
+    m_chooser.setWarmUpLimiter(limiter);
 }
 
 void TokenRouter::updateWithdrawnAddresses(const RouteTable& next)
@@ -99,8 +107,14 @@
     if (isNew && m_admission != nullptr && !m_admission->admit(*route, service, now))
         return reset(fields, DropReason::NewFlowLimit);
     const Target* target = m_chooser.choose(targets, tried, now, m_targets.sharedLoad());
-    if (target == nullptr)
+    if (target == nullptr) {
+        // The flow may be open at the target that its first packet went to, so a copy is not answered by a reset.
+        if (isHeldBackByWarmUp(targets, tried, now))
+            return drop(fields, DropReason::NoTarget);
         return reset(fields, DropReason::NoTarget);
+    }
+    if (m_warmUp != nullptr)
+        m_warmUp->recordOpening(*target, now);
     m_observer.onPlaced(
         { .flow = fields.key, .copy = fields.openingCopy, .target = *target, .candidates = targets.size() });
     m_flows.recordOpening(fields.key, target->token, now);
@@ -109,6 +123,15 @@
     return forwardTo(*target);
 }
 
+bool TokenRouter::isHeldBackByWarmUp(
+    const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now) const
+{
+    if (m_warmUp == nullptr || tried.count == 0)
+        return false;
+    return std::any_of(targets.begin(), targets.end(),
+        [&](const Target* target) { return tried.contains(target->token) && !m_warmUp->mayOpen(*target, now); });
+}
+
 PlacementExplanation TokenRouter::explain(const FlowKey& key, MonotonicTime now) const
 {
     PlacementExplanation explanation { .sharedLoad = m_targets.sharedLoad() };
--- a/tests/edge/EdgeSettingsTest.cpp
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -22,6 +22,8 @@
 config_in_force_ms = 5000
 drain_in_force_ms = 4500
 evacuation_in_force_ms = 6000
+warm_up_factor = 1.5
+warm_up_slack = 5
 calm_window_ms = 4000
 stop_seconds = 2.5
 )";
@@ -58,6 +60,8 @@
     CHECK(settings.configBound == 5000ms);
     CHECK(settings.drainBound == 4500ms);
     CHECK(settings.evacuationBound == 6000ms);
+    CHECK(settings.warmUpFactor == 1.5);
+    CHECK(settings.warmUpSlack == 5);
     CHECK(settings.stableWindow == 4000ms);
     CHECK(settings.stopDeadline == 2500ms);
 }
@@ -101,6 +105,17 @@
     CHECK(std::get<EdgeSettings>(result).memoryMegabytes == 80);
 }
 
+// Guards against a limit on cold targets that is not the configured one where the platform names no tolerance.
+TEST_CASE("parseEdgeSettings reads a warm-up tolerance only within its bounds")
+{
+    const auto result = parseEdgeSettings(replaced("warm_up_factor = 1.5\nwarm_up_slack = 5\n", ""), "edge.toml");
+    REQUIRE(std::holds_alternative<EdgeSettings>(result));
+    CHECK(std::get<EdgeSettings>(result).warmUpFactor == 1);
+    CHECK(std::get<EdgeSettings>(result).warmUpSlack == 0);
+    CHECK(findingsOf(replaced("warm_up_factor = 1.5", "warm_up_factor = 1e9")).all().size() == 1);
+    CHECK(findingsOf(replaced("warm_up_slack = 5", "warm_up_slack = -1")).all().size() == 1);
+}
+
 TEST_CASE("parseEdgeSettings reports all errors together")
 {
     std::string text = replaced("\"10.1.0.10:8167\"", "\"10.1.0.10\"");
@@ -112,7 +127,7 @@
     // The hint lists each key once, even if several checks read it.
     CHECK(findingsOf(validText + "colour = 1\n").all().front().hint
         == "remove it; the keys here are config_in_force_ms, drain_in_force_ms, evacuation_in_force_ms, "
-           "calm_window_ms, stop_seconds");
+           "warm_up_factor, warm_up_slack, calm_window_ms, stop_seconds");
     CHECK(findingsOf("[balancer\n").all().size() == 1);
     CHECK(findingsOf("balancer = 3\n").all().size() == 5);
 }
