--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -2,6 +2,7 @@
 
 #include "EdgeMetrics.h"
 #include "EdgeTiming.h"
+#include "WhereAnswer.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <vector>
 
 namespace anvilwalk {
 
@@ -108,6 +110,11 @@
     , m_chooser({ .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value()) })
     , m_admission(
           { .dataCentre = settings.dataCentre, .seed = hashText(settings.balancer.value(), hashText("admission")) })
+    , m_warmUp({ .balancer = settings.balancer,
+          .dataCentre = settings.dataCentre,
+          .factor = settings.warmUpFactor,
+          .slack = settings.warmUpSlack,
+          .startedAt = clock.now() })
     , m_router(TokenRouterOptions {}, m_targets, m_flows, m_chooser, m_decisions)
     , m_members(MemberListOptions {}, ownMember(settings))
     , m_view(viewOptionsOf(settings), m_targets, m_router, m_members, log, clock)
@@ -124,11 +131,7 @@
               return HttpReply { .status = isReady() ? ready : notReady };
           })
     , m_metricsServer({ .address = settings.metricsAddress }, context,
-          [this](std::string_view requestPath) -> std::optional<HttpReply> {
-              if (requestPath != metricsPath)
-                  return std::nullopt;
-              return HttpReply { .body = currentMetrics() };
-          })
+          [this](std::string_view path) { return handleMetricsRequest(path); })
     , m_targetFeed(targetFeedOptions(settings), context, platform.targets, m_view.targetObserver(), clock)
     , m_routeFeed(feedOptions(settings, "routes"), context, platform.routes, m_view.routeObserver(), clock)
     , m_evacuationFeed({ .seed = hashText(settings.balancer.value(), hashText("evacuations")) }, context,
@@ -143,6 +146,7 @@
 {
     m_decisions.setView(m_view);
     m_router.setAdmission(&m_admission);
+    m_router.setWarmUpLimiter(&m_warmUp);
     m_view.onComplete([this] { m_viewTimer.cancel(); });
     m_view.onChange([this] { announceView(); });
     m_view.evacuations().onReadDue([this] { m_evacuationFeed.wake(); });
@@ -305,6 +309,44 @@
     return m_encodedView->body;
 }
 
+std::optional<HttpReply> EdgeBalancer::handleMetricsRequest(std::string_view path) const
+{
+    constexpr unsigned badRequest = 400;
+    if (path == metricsPath)
+        return HttpReply { .body = currentMetrics() };
+    if (!path.starts_with(wherePrefix))
+        return std::nullopt;
+    const auto query = parseWherePath(path);
+    if (!query)
+        return HttpReply { .status = badRequest,
+            .body = "the path must be /v1/where/CLIENT/SERVICE, both as address:port\n",
+            .contentType = "text/plain" };
+    return HttpReply { .body = explainPlacement(*query), .contentType = "application/json" };
+}
+
+std::string EdgeBalancer::explainPlacement(const WhereQuery& query) const
+{
+    const MonotonicTime now = m_clock.now();
+    const FlowKey flow { .source = query.client.address,
+        .destination = query.service.address,
+        .sourcePort = query.client.port,
+        .destinationPort = query.service.port };
+    // An input that was never confirmed has the age of the clock.
+    const auto knownAge
+        = [now](Duration age) { return age < now.time_since_epoch() ? std::optional<Duration>(age) : std::nullopt; };
+    const EvacuationView& evacuations = m_view.evacuations();
+    return encodeWhereAnswer(query, m_router.explain(flow, now),
+        { .balancer = m_settings.balancer,
+            .dataCentre = m_settings.dataCentre,
+            .configVersion = m_router.routes() ? m_router.routes()->version() : ConfigVersion(),
+            .targetsVersion = m_view.targetsVersion(),
+            .targetsAge = knownAge(m_view.targetsAge()),
+            .routesAge = knownAge(m_view.routesAge()),
+            .evacuationsAge = evacuations.isEnabled() ? knownAge(evacuations.age()) : std::nullopt,
+            .evacuatedDataCentres = evacuations.dataCentres(),
+            .now = now });
+}
+
 std::string EdgeBalancer::currentMetrics() const
 {
     return renderMetrics({ .router = m_router.counters(),
@@ -323,7 +365,9 @@
         .sharedLoad = m_targets.sharedLoad(),
         .sharedLoadAge = m_clock.now() - m_targets.sharedLoad().takenAt,
         .loadMessages = m_loadExchange ? m_loadExchange->counters() : LoadExchangeCounters {},
-        .refusedFlows = m_admission.refused() });
+        .refusedFlows = m_admission.refused(),
+        .warmUpLimits = m_warmUp.limitedServices(),
+        .coldOpenings = m_warmUp.openings() });
 }
 
 asio::awaitable<void> EdgeBalancer::forwardPackets()
@@ -349,12 +393,34 @@
         m_targets.expire(now);
         m_router.expire(now);
         m_view.refresh();
+        updateWarmUpLimiter(now);
         if (m_loadExchange)
             m_loadExchange->setEnabled(m_router.routes() && m_router.routes()->sharesLoad());
         m_log.flush();
     }
 }
 
+void EdgeBalancer::updateWarmUpLimiter(MonotonicTime now)
+{
+    m_warmUp.expire(now);
+    if (m_warmUp.isActive()) {
+        std::vector<BalancerId> members;
+        // Other members do not count a balancer that stops.
+        if (!m_stopping) {
+            for (const Member& member : m_members.localMembers())
+                members.push_back(member.id);
+        }
+        m_warmUp.setMembers(members, now);
+    }
+    const bool isCandidate = m_warmUp.isActive() && m_warmUp.isCandidate(now);
+    if (m_warmUp.limitedServices() == m_loggedWarmUpLimits && isCandidate == m_loggedWarmUpCandidate)
+        return;
+    m_loggedWarmUpLimits = m_warmUp.limitedServices();
+    m_loggedWarmUpCandidate = isCandidate;
+    m_log.write(EventKind::Routes, "warm_up_limits", logField("services", m_loggedWarmUpLimits),
+        logField("opens_flows", isCandidate ? 1 : 0));
+}
+
 asio::awaitable<void> EdgeBalancer::handleSignals()
 {
     for (;;) {
--- a/packages/placement/include/anvilwalk/placement.h
+++ b/packages/placement/include/anvilwalk/placement.h
@@ -5,6 +5,7 @@
 
 #include <anvilwalk/placement/AdmissionController.h>
 #include <anvilwalk/placement/FlowTracker.h>
+#include <anvilwalk/placement/PlacementExplanation.h>
 #include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/SharedTargetLoad.h>
@@ -12,3 +13,4 @@
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/placement/TargetChooser.h>
 #include <anvilwalk/placement/TokenRouter.h>
+#include <anvilwalk/placement/WarmUpLimiter.h>
--- a/packages/placement/include/anvilwalk/placement/AdmissionController.h
+++ b/packages/placement/include/anvilwalk/placement/AdmissionController.h
@@ -52,6 +52,8 @@
         const Route&, const ServiceName&, const std::vector<Target*>&, const SharedLoadStatus&, MonotonicTime now);
     // Number of priorities of a service that are admitted, the last one in part; 0 if the service is not controlled.
     double admittedPriorities(const ServiceName&) const;
+    // Probability that admit() would let a new flow pass, by the last update.
+    double admittedShare(const Route&, const ServiceName&) const;
     std::uint64_t refused() const { return m_refused; }
 
 private:
@@ -63,6 +65,7 @@
         MonotonicTime updatedAt;
     };
 
+    double shareOf(const ServiceState&, const Route&) const;
     double admittedOf(const ServiceState&) const;
     double currentLoad(const std::vector<Target*>&, const SharedLoadStatus&) const;
 
--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <anvilwalk/placement/FlowTracker.h>
+#include <anvilwalk/placement/PlacementExplanation.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
+#include <anvilwalk/placement/WarmUpLimiter.h>
 #include <anvilwalk/units.h>
 
 #include <cstdint>
@@ -48,9 +50,15 @@
 public:
     explicit TargetChooser(const TargetChooserOptions&);
 
+    // Sets what limits the flows to targets that warm up; null for nothing.
+    void setWarmUpLimiter(const WarmUpLimiter* limiter) { m_warmUp = limiter; }
     // Returns the target for a new flow, preferring targets not yet tried for it. Null if no target accepts new flows.
     Target* choose(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus& = {});
 
+    // Explains the choice that choose() would make for these arguments. Changes no state.
+    std::vector<TargetExplanation> explain(
+        const std::vector<Target*>&, const TriedTargets&, MonotonicTime now, const SharedLoadStatus& = {}) const;
+
 private:
     // A target with the best rank among those that a flow may go to. Loads are in requests per slot of a target of
     // usual speed.
@@ -77,18 +85,29 @@
     // Sets the load by others of the local or of the remote candidates. On all of them together, the others have as
     // much load as this balancer, which is known now; the summary tells which of them have more.
     void estimateOthers(bool local, MonotonicTime now, const SharedLoadStatus&);
+    double ownLoadOf(const Candidate&) const;
     double estimatedLoadOf(const Candidate&) const;
     // Learns the service times from a new summary. The response time of a target without a queue is its service time. A
     // target with a longer queue than the mean is slower than estimated; how much is not known from its response time,
     // because that includes waiting, or rejections that take no work.
     void updateServiceTimes(const std::vector<Target*>&, const SharedLoadStatus&) const;
-    int rankOf(const Target&, const TriedTargets&, MonotonicTime now) const;
+    void explainLeastLoaded(const std::vector<Target*>&, MonotonicTime now, std::vector<TargetExplanation>&) const;
+    void explainBySharedLoad(const std::vector<Target*>&, const TriedTargets&, MonotonicTime now,
+        const SharedLoadStatus&, std::vector<TargetExplanation>&) const;
+    TargetRank rankOf(const Target&, const TriedTargets&, MonotonicTime now) const;
+    TargetRankReason rankReasonOf(const Target&, const TriedTargets&, MonotonicTime now) const;
+    // Returns the shortest recent response time as this balancer measures it.
+    Duration fastestOf(const std::vector<Target*>&, MonotonicTime now) const;
+    // Factor of the load for the response times that this balancer measures, or for the warm-up time.
+    double ownSlowdownOf(const Target&, Duration fastest, MonotonicTime now) const;
     double loadOf(const Target&, Duration fastest, MonotonicTime now) const;
+    // Factor of the load for the learnt service time and for the warm-up time.
     double slowdownOf(const Target&, Duration usual, MonotonicTime now) const;
     bool isBackedOff(const Target&, MonotonicTime now) const;
     bool isSilentForOthers(const Target&) const;
 
     TargetChooserOptions m_options;
+    const WarmUpLimiter* m_warmUp = nullptr;
     pcg32 m_random;
     // Used by one choice; kept to reuse the memory.
     std::vector<Candidate> m_candidates;
--- a/packages/placement/src/AdmissionController.cpp
+++ b/packages/placement/src/AdmissionController.cpp
@@ -65,15 +65,26 @@
         = std::chrono::duration<double>(now - std::exchange(state.updatedAt, now)) / m_options.averagingTime;
     const double load = currentLoad(targets, sharedLoad);
     state.load = load + (state.load - load) * std::exp(-elapsed);
-    const auto rank = std::lower_bound(state.priorities.begin(), state.priorities.end(), route.priority);
-    const auto moreUrgent = static_cast<double>(rank - state.priorities.begin());
-    const double share = std::clamp(admittedOf(state) - moreUrgent, 0.0, 1.0);
+    const double share = shareOf(state, route);
     if (share >= 1 || std::uniform_real_distribution<double>()(m_random) < share)
         return true;
     ++m_refused;
     return false;
 }
 
+double AdmissionController::shareOf(const ServiceState& state, const Route& route) const
+{
+    const auto rank = std::lower_bound(state.priorities.begin(), state.priorities.end(), route.priority);
+    const auto moreUrgent = static_cast<double>(rank - state.priorities.begin());
+    return std::clamp(admittedOf(state) - moreUrgent, 0.0, 1.0);
+}
+
+double AdmissionController::admittedShare(const Route& route, const ServiceName& service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 1 : shareOf(found->second, route);
+}
+
 double AdmissionController::currentLoad(const std::vector<Target*>& targets, const SharedLoadStatus& sharedLoad) const
 {
     double busy = 0;
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -14,16 +14,6 @@
     // Prevents overflow of the backoff time.
     constexpr std::uint32_t maxBackoffDoublings = 16;
 
-    // Rank of a target, compared before its load; lower is better.
-    enum Rank : int {
-        Responsive = 0,
-        // Did not respond to recent packets, or its entry is missing.
-        Degraded = 1,
-        // This opening packet was already sent there.
-        Tried = 2,
-        Unusable = 3,
-    };
-
     bool hasRecentResponseTime(const TargetActivity& activity, std::chrono::milliseconds maxAge, MonotonicTime now)
     {
         return activity.responseTime > Duration::zero() && now - activity.lastResponse < maxAge;
@@ -61,18 +51,14 @@
 Target* TargetChooser::chooseLeastLoaded(
     const std::vector<Target*>& targets, const TriedTargets& tried, MonotonicTime now)
 {
-    Duration fastest = Duration::max();
-    for (const Target* target : targets) {
-        if (hasRecentResponseTime(target->activity, m_options.responseTimeMaxAge, now))
-            fastest = std::min(fastest, target->activity.responseTime);
-    }
+    const Duration fastest = fastestOf(targets, now);
     Target* best = nullptr;
-    int bestRank = Unusable;
+    TargetRank bestRank = TargetRank::Unusable;
     double bestLoad = std::numeric_limits<double>::max();
     std::uint32_t tieCount = 0;
     for (Target* target : targets) {
-        const int rank = rankOf(*target, tried, now);
-        if (rank == Unusable || rank > bestRank)
+        const TargetRank rank = rankOf(*target, tried, now);
+        if (rank == TargetRank::Unusable || rank > bestRank)
             continue;
         const double load = loadOf(*target, fastest, now);
         const bool better = rank < bestRank || load < bestLoad - loadTolerance;
@@ -92,6 +78,7 @@
 Target* TargetChooser::chooseBySharedLoad(const std::vector<Target*>& targets, const TriedTargets& tried,
     MonotonicTime now, const SharedLoadStatus& sharedLoad)
 {
+    updateServiceTimes(targets, sharedLoad);
     collectCandidates(targets, tried, now, sharedLoad);
     Target* best = nullptr;
     double bestLoad = std::numeric_limits<double>::max();
@@ -114,13 +101,12 @@
 {
     m_candidates.clear();
     m_serviceTimes.clear();
-    updateServiceTimes(targets, sharedLoad);
-    int bestRank = Unusable;
+    TargetRank bestRank = TargetRank::Unusable;
     for (Target* target : targets) {
         if (target->serviceTime > Duration::zero())
             m_serviceTimes.push_back(target->serviceTime);
-        const int rank = rankOf(*target, tried, now);
-        if (rank == Unusable || rank > bestRank)
+        const TargetRank rank = rankOf(*target, tried, now);
+        if (rank == TargetRank::Unusable || rank > bestRank)
             continue;
         if (rank < bestRank)
             m_candidates.clear();
@@ -175,13 +161,88 @@
     }
 }
 
-double TargetChooser::estimatedLoadOf(const Candidate& candidate) const
+double TargetChooser::ownLoadOf(const Candidate& candidate) const
 {
     const TargetActivity& activity = candidate.target->activity;
     const double idle
         = activity.openFlows > activity.requestsInProgress ? activity.openFlows - activity.requestsInProgress : 0;
-    const double own = busyOf(activity) + idle * m_options.idleFlowLoad;
-    return own / candidate.capacity + candidate.recentLoad + candidate.othersLoad;
+    return (busyOf(activity) + idle * m_options.idleFlowLoad) / candidate.capacity;
+}
+
+double TargetChooser::estimatedLoadOf(const Candidate& candidate) const
+{
+    return ownLoadOf(candidate) + candidate.recentLoad + candidate.othersLoad;
+}
+
+std::vector<TargetExplanation> TargetChooser::explain(const std::vector<Target*>& targets, const TriedTargets& tried,
+    MonotonicTime now, const SharedLoadStatus& sharedLoad) const
+{
+    std::vector<TargetExplanation> explanations;
+    explanations.reserve(targets.size());
+    for (const Target* target : targets) {
+        const TargetRankReason reason = rankReasonOf(*target, tried, now);
+        explanations.push_back({ .target = target,
+            .rank = rankFor(reason),
+            .reason = reason,
+            .remote = target->record.dataCentre != m_options.dataCentre });
+    }
+    if (sharedLoad.fresh)
+        explainBySharedLoad(targets, tried, now, sharedLoad, explanations);
+    else
+        explainLeastLoaded(targets, now, explanations);
+    return explanations;
+}
+
+void TargetChooser::explainLeastLoaded(
+    const std::vector<Target*>& targets, MonotonicTime now, std::vector<TargetExplanation>& explanations) const
+{
+    const Duration fastest = fastestOf(targets, now);
+    TargetRank bestRank = TargetRank::Unusable;
+    for (TargetExplanation& explanation : explanations) {
+        explanation.slowdown = ownSlowdownOf(*explanation.target, fastest, now);
+        explanation.ownLoad = loadOf(*explanation.target, fastest, now);
+        bestRank = std::min(bestRank, explanation.rank);
+    }
+    if (bestRank == TargetRank::Unusable)
+        return;
+    double leastLoad = std::numeric_limits<double>::max();
+    for (const TargetExplanation& explanation : explanations) {
+        if (explanation.rank == bestRank)
+            leastLoad = std::min(leastLoad, explanation.ownLoad);
+    }
+    const auto isChosen = [=](const TargetExplanation& explanation) {
+        return explanation.rank == bestRank && explanation.ownLoad <= leastLoad + loadTolerance;
+    };
+    const auto chosen = std::count_if(explanations.begin(), explanations.end(), isChosen);
+    for (TargetExplanation& explanation : explanations)
+        explanation.share = isChosen(explanation) ? 1.0 / static_cast<double>(chosen) : 0;
+}
+
+void TargetChooser::explainBySharedLoad(const std::vector<Target*>& targets, const TriedTargets& tried,
+    MonotonicTime now, const SharedLoadStatus& sharedLoad, std::vector<TargetExplanation>& explanations) const
+{
+    // The candidates are collected in a copy, because the choice reuses their memory.
+    TargetChooser copy(*this);
+    copy.collectCandidates(targets, tried, now, sharedLoad);
+    const Duration usual = lowQuantile(copy.m_serviceTimes);
+    for (TargetExplanation& explanation : explanations) {
+        const Target& target = *explanation.target;
+        explanation.slowdown = slowdownOf(target, usual, now);
+        const double capacity = std::max<std::uint32_t>(target.record.slots, 1) / explanation.slowdown;
+        explanation.ownLoad = (busyOf(target.activity) + 1) / capacity;
+    }
+    double leastLoad = std::numeric_limits<double>::max();
+    for (const Candidate& candidate : copy.m_candidates)
+        leastLoad = std::min(leastLoad, estimatedLoadOf(candidate));
+    const auto isChosen
+        = [&](const Candidate& candidate) { return estimatedLoadOf(candidate) <= leastLoad + loadTolerance; };
+    const auto chosen = std::count_if(copy.m_candidates.begin(), copy.m_candidates.end(), isChosen);
+    for (const Candidate& candidate : copy.m_candidates) {
+        const auto found = std::find(targets.begin(), targets.end(), candidate.target);
+        TargetExplanation& explanation = explanations[static_cast<std::size_t>(found - targets.begin())];
+        explanation.load = estimatedLoadOf(candidate);
+        explanation.share = isChosen(candidate) ? 1.0 / static_cast<double>(chosen) : 0;
+    }
 }
 
 void TargetChooser::updateServiceTimes(const std::vector<Target*>& targets, const SharedLoadStatus& sharedLoad) const
@@ -218,16 +279,32 @@
     return std::clamp(slowdown * coldFactor, 1.0, m_options.maxSlowdown);
 }
 
-int TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
+TargetRank TargetChooser::rankOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
+{
+    return rankFor(rankReasonOf(target, tried, now));
+}
+
+TargetRankReason TargetChooser::rankReasonOf(const Target& target, const TriedTargets& tried, MonotonicTime now) const
 {
-    if (target.tokenCollides || target.evacuated || target.record.state == TargetState::Draining
-        || target.presence == TargetPresence::Gone)
-        return Unusable;
+    if (target.tokenCollides)
+        return TargetRankReason::TokenCollision;
+    if (target.evacuated)
+        return TargetRankReason::Evacuated;
+    if (target.record.state == TargetState::Draining)
+        return TargetRankReason::Draining;
+    if (target.presence == TargetPresence::Gone)
+        return TargetRankReason::Gone;
+    if (m_warmUp != nullptr && !m_warmUp->mayOpen(target, now))
+        return TargetRankReason::WarmUpLimit;
     if (tried.contains(target.token))
-        return Tried;
-    if (target.presence == TargetPresence::Missing || isBackedOff(target, now) || isSilentForOthers(target))
-        return Degraded;
-    return Responsive;
+        return TargetRankReason::AlreadyTried;
+    if (target.presence == TargetPresence::Missing)
+        return TargetRankReason::Missing;
+    if (isBackedOff(target, now))
+        return TargetRankReason::Suspected;
+    if (isSilentForOthers(target))
+        return TargetRankReason::SilentForOthers;
+    return TargetRankReason::None;
 }
 
 bool TargetChooser::isSilentForOthers(const Target& target) const
@@ -249,6 +326,25 @@
     return now - activity.lastUnanswered < backoff || activity.pendingOpenings > 0;
 }
 
+Duration TargetChooser::fastestOf(const std::vector<Target*>& targets, MonotonicTime now) const
+{
+    Duration fastest = Duration::max();
+    for (const Target* target : targets) {
+        if (hasRecentResponseTime(target->activity, m_options.responseTimeMaxAge, now))
+            fastest = std::min(fastest, target->activity.responseTime);
+    }
+    return fastest;
+}
+
+double TargetChooser::ownSlowdownOf(const Target& target, Duration fastest, MonotonicTime now) const
+{
+    const TargetActivity& activity = target.activity;
+    if (hasRecentResponseTime(activity, m_options.responseTimeMaxAge, now) && fastest > Duration::zero())
+        return std::clamp(static_cast<double>(activity.responseTime.count()) / static_cast<double>(fastest.count()),
+            1.0, m_options.maxSlowdown);
+    return now < target.coldUntil ? m_options.coldFactor : 1;
+}
+
 double TargetChooser::loadOf(const Target& target, Duration fastest, MonotonicTime now) const
 {
     const TargetActivity& activity = target.activity;
@@ -257,13 +353,7 @@
         = activity.openFlows > activity.requestsInProgress ? activity.openFlows - activity.requestsInProgress : 0;
     double load
         = (inProgress + 1 + idleFlows * m_options.idleFlowLoad) / std::max<std::uint32_t>(target.record.slots, 1);
-    if (hasRecentResponseTime(activity, m_options.responseTimeMaxAge, now) && fastest > Duration::zero()) {
-        const double slowdown
-            = static_cast<double>(activity.responseTime.count()) / static_cast<double>(fastest.count());
-        load *= std::clamp(slowdown, 1.0, m_options.maxSlowdown);
-    } else if (now < target.coldUntil) {
-        load *= m_options.coldFactor;
-    }
+    load *= ownSlowdownOf(target, fastest, now);
     if (target.record.dataCentre != m_options.dataCentre)
         load += m_options.remotePenalty;
     return load;
