placement: what a restored store lacks is no evidence against open flows

Cause: the store may return from a copy that is some seconds old; entries written since are missing until their writers repeat them. Change: recordStoreRestored in TargetCatalogue and TokenRouter; for 5 s after it no missing target is gone, and no confirmation ends an open flow. A draining target stays draining when only the era rose.

--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -90,6 +90,11 @@
     SharedTargetLoad shared;
 };
 
+// After the store was restored from an older copy, writers notice the loss and write again what the copy lacks: running
+// targets within 2 s, operators' tools within 5 s. Until then, what the store does not list is no evidence against a
+// flow.
+inline constexpr std::chrono::milliseconds storeRestoreTime { 5000 };
+
 struct TargetCatalogueOptions {
     // A target whose entry was removed is considered gone after this time. Running targets restore their entries within
     // 2 s of the store's recovery.
@@ -111,7 +116,8 @@
 public:
     explicit TargetCatalogue(const TargetCatalogueOptions&, PlacementObserver& = PlacementObserver::none());
 
-    // Adds or updates a target. Ignored if the version is not newer than the known one.
+    // Adds or updates a target. Ignored if the version is not newer than the known one. If only the store's era has
+    // risen, a target that drains continues to drain, and a warm-up time does not grow: the entry is an older copy.
     void put(const TargetRecord&, StoreVersion, MonotonicTime now);
     // Records that the entry under this name is no longer valid: it cannot be parsed or is owned by another writer.
     void putInvalid(const std::string& name, StoreVersion, MonotonicTime now);
@@ -130,6 +136,13 @@
         m_lastOutage = now;
         m_hadOutage = true;
     }
+    // Records that the store was restored from an older copy. Targets that it does not list any more are missing, and
+    // none of them is gone before the copy's gaps can have been filled.
+    void recordStoreRestored(MonotonicTime now)
+    {
+        recordStoreOutage(now);
+        m_restoreEnd = now + storeRestoreTime;
+    }
     // Records that the targets include every change that the store had accepted at the given time.
     void recordConfirmed(MonotonicTime at) { m_confirmedAt = std::max(m_confirmedAt, at); }
     // Sets the data centres whose targets get no new flows.
@@ -180,6 +193,8 @@
     // Changes up to this version may have been discarded with their targets.
     StoreVersion m_discardedVersion;
     MonotonicTime m_lastOutage;
+    // End of the time in which entries that a restored store lacks are written again.
+    MonotonicTime m_restoreEnd;
     MonotonicTime m_confirmedAt;
     bool m_hadOutage = false;
 };
--- a/packages/placement/include/anvilwalk/placement/TokenRouter.h
+++ b/packages/placement/include/anvilwalk/placement/TokenRouter.h
@@ -59,6 +59,13 @@
     void recordRoutesConfirmed(MonotonicTime at) { m_routesConfirmedAt = std::max(m_routesConfirmedAt, at); }
     // Records that a call to the store failed or timed out. Running targets may be missing in its next answers.
     void recordStoreOutage(MonotonicTime now) { m_lastOutage = now; }
+    // Records that the store was restored from an older copy. Open flows are reset for a route or target that is not
+    // known only once the store has confirmed the view after the time in which the copy's gaps are filled.
+    void recordStoreRestored(MonotonicTime now)
+    {
+        recordStoreOutage(now);
+        m_restoreEnd = now + storeRestoreTime;
+    }
     // Returns the earliest time at which a current answer of the store decides whether an unknown token belongs to a
     // terminated target; nullopt if no decision is pending.
     std::optional<MonotonicTime> currentAnswerDue() const;
@@ -80,10 +87,10 @@
     // End of the time in which the target of an unknown token becomes known, if it is running.
     MonotonicTime graceEndOf(MonotonicTime firstSeen) const
     {
-        return std::max(firstSeen, m_lastOutage) + m_options.unknownTokenGracePeriod;
+        return std::max(std::max(firstSeen, m_lastOutage) + m_options.unknownTokenGracePeriod, m_restoreEnd);
     }
     // Returns whether a view that was confirmed at the given time includes the changes that preceded a flow: its first
-    // packet arrived here before that.
+    // packet arrived here before that. A restored store's view does so only once the gaps of its copy are filled.
     bool includesFlow(MonotonicTime confirmedAt, const FlowKey&, MonotonicTime now);
 
     TokenRouterOptions m_options;
@@ -102,6 +109,8 @@
     bool m_viewCurrent = false;
     MonotonicTime m_targetsConfirmedAt;
     MonotonicTime m_lastOutage;
+    // End of the time in which entries that a restored store lacks are written again.
+    MonotonicTime m_restoreEnd;
     // Arrival time of the first packet with each unknown token.
     absl::flat_hash_map<FlowToken, MonotonicTime> m_unknownSince;
     TokenRouterCounters m_counters;
--- a/packages/placement/src/TargetCatalogue.cpp
+++ b/packages/placement/src/TargetCatalogue.cpp
@@ -32,16 +32,22 @@
     if (known && version <= known->version)
         return;
     // A new run starts with empty statistics.
-    if (!known || known->record.startedMs != record.startedMs)
+    const bool isNewRun = !known || known->record.startedMs != record.startedMs;
+    if (isNewRun)
         known = std::make_unique<Target>();
+    const bool isOlderCopy = !isNewRun && eraOf(version) > eraOf(known->version);
+    const bool staysDraining = isOlderCopy && known->record.state == TargetState::Draining;
+    const MonotonicTime coldUntil = now + record.coldRemaining;
     if (known->record.state != TargetState::Draining)
         known->drainingSince = now;
     known->record = record;
+    if (staysDraining)
+        known->record.state = TargetState::Draining;
     known->token = tokenOf(record.key);
     known->version = version;
     known->readVersion = version;
     known->presence = TargetPresence::Listed;
-    known->coldUntil = now + record.coldRemaining;
+    known->coldUntil = isOlderCopy ? std::min(known->coldUntil, coldUntil) : coldUntil;
     m_indexCurrent = false;
 }
 
@@ -149,7 +155,7 @@
 {
     // A running target cannot renew its entry during a store outage.
     const MonotonicTime start = m_hadOutage ? std::max(target.absentSince, m_lastOutage) : target.absentSince;
-    return start + m_options.missingGracePeriod;
+    return std::max(start + m_options.missingGracePeriod, m_restoreEnd);
 }
 
 bool TargetCatalogue::isGracePeriodOver(const Target& target, MonotonicTime now) const
@@ -205,6 +211,8 @@
 TargetChanges TargetCatalogue::changesSince(StoreVersion version, MonotonicTime now) const
 {
     TargetChanges changes { .targets = {}, .complete = version == StoreVersion() || version < m_discardedVersion };
+    // A balancer that has read nothing before a restore cannot tell what the copy lacks; the receiver can.
+    changes.complete = changes.complete || eraOf(version) < eraOf(lastChange());
     for (const auto& [name, target] : m_byName) {
         if (!changes.complete && target->readVersion <= version)
             continue;
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -147,7 +147,7 @@
 {
     const auto found = m_unconfirmedFlows.find(key);
     if (found != m_unconfirmedFlows.end())
-        return confirmedAt > found->second;
+        return confirmedAt > found->second && confirmedAt >= m_restoreEnd;
     if (m_unconfirmedFlows.size() < m_options.maxUnconfirmedFlows)
         m_unconfirmedFlows.emplace(key, now);
     return false;
--- a/packages/units/include/anvilwalk/units.h
+++ b/packages/units/include/anvilwalk/units.h
@@ -9,4 +9,5 @@
 #include <anvilwalk/units/Ipv4Endpoint.h>
 #include <anvilwalk/units/PercentEncoding.h>
 #include <anvilwalk/units/Result.h>
+#include <anvilwalk/units/StoreEra.h>
 #include <anvilwalk/units/StrongId.h>
--- a/tests/placement/TargetCatalogueTest.cpp
+++ b/tests/placement/TargetCatalogueTest.cpp
@@ -282,3 +282,89 @@
     CHECK(adopt(5, TargetPresence::Missing) == TargetPresence::Gone);
     CHECK(adopt(6, TargetPresence::Listed) == TargetPresence::Listed);
 }
+
+namespace {
+
+std::uint64_t inEra(std::uint32_t era, std::uint64_t revision)
+{
+    return makeStoreVersion(StoreEra(era), revision).value();
+}
+
+} // namespace
+
+// Guards against new flows at a target that is about to end: the copy from which the store was restored may be older
+// than the target's announcement.
+TEST_CASE("TargetCatalogue keeps a target draining when a restored store lists it as ready")
+{
+    Fixture fixture;
+    fixture.put(1, inEra(1, 30), TargetState::Draining);
+    fixture.put(1, inEra(2, 20));
+    const Target& target = *fixture.targets.find(tokenOfTarget(1));
+    CHECK(target.record.state == TargetState::Draining);
+    CHECK(target.version == StoreVersion(inEra(2, 20)));
+    // What the target itself writes to the restored store counts.
+    fixture.put(1, inEra(2, 21));
+    CHECK(fixture.targets.find(tokenOfTarget(1))->record.state == TargetState::Ready);
+
+    // A new run has announced nothing.
+    fixture.put(2, inEra(2, 30), TargetState::Draining);
+    TargetRecord restarted = targetRecord(2);
+    restarted.startedMs += 1;
+    fixture.targets.put(restarted, StoreVersion(inEra(3, 20)), fixture.clock.now());
+    CHECK(fixture.targets.find(tokenOfTarget(2))->record.state == TargetState::Ready);
+}
+
+// Guards against a warm target that is taken for a cold one because of the older copy.
+TEST_CASE("TargetCatalogue does not extend a warm-up time when the store was restored")
+{
+    Fixture fixture;
+    TargetRecord record = targetRecord(1);
+    record.coldRemaining = 2000ms;
+    fixture.targets.put(record, StoreVersion(inEra(1, 30)), fixture.clock.now());
+    const MonotonicTime coldUntil = fixture.targets.find(tokenOfTarget(1))->coldUntil;
+    fixture.clock.advance(1500ms);
+    fixture.targets.put(record, StoreVersion(inEra(2, 20)), fixture.clock.now());
+    CHECK(fixture.targets.find(tokenOfTarget(1))->coldUntil == coldUntil);
+}
+
+// Guards against resets of flows of running targets whose entries were written after the copy was made.
+TEST_CASE("TargetCatalogue takes targets that a restored store lacks for missing until they can have written again")
+{
+    Fixture fixture;
+    for (std::uint64_t number = 1; number <= 14; ++number)
+        fixture.put(number, inEra(1, number), number == 3 ? TargetState::Draining : TargetState::Ready);
+    fixture.clock.advance(10s);
+    fixture.targets.recordStoreRestored(fixture.clock.now());
+    std::vector<std::string> names;
+    for (std::uint64_t number = 1; number <= 14; ++number) {
+        if (number != 3 && number != 4 && number != 5)
+            names.push_back(targetRecord(number).name);
+    }
+    fixture.targets.retainOnly(names, StoreVersion(inEra(2, 10)), fixture.clock.now());
+    CHECK(fixture.targets.currentAnswerDue() == fixture.clock.now() + 5s);
+    for (int step = 0; step < 4; ++step) {
+        for (const std::uint64_t number : { 3, 4, 5 })
+            CHECK(fixture.presence(number) == TargetPresence::Missing);
+        fixture.answerAfter(1s);
+    }
+    // A delayed change from before the restore does not list the target again.
+    fixture.put(5, inEra(1, 99));
+    CHECK(fixture.presence(5) == TargetPresence::Missing);
+    fixture.put(5, inEra(2, 11));
+    CHECK(fixture.presence(5) == TargetPresence::Listed);
+    fixture.answerAfter(999ms);
+    CHECK(fixture.presence(4) == TargetPresence::Missing);
+    fixture.answerAfter(1ms);
+    CHECK(fixture.presence(3) == TargetPresence::Gone);
+    CHECK(fixture.presence(4) == TargetPresence::Gone);
+    CHECK(fixture.presence(5) == TargetPresence::Listed);
+}
+
+// Guards against a balancer that keeps targets which the restored store lacks because the relay never knew them.
+TEST_CASE("The changes since a version of a lower era are all targets")
+{
+    Fixture fixture;
+    fixture.put(1, inEra(2, 20));
+    CHECK(fixture.targets.changesSince(StoreVersion(inEra(1, 30)), fixture.clock.now()).complete);
+    CHECK_FALSE(fixture.targets.changesSince(StoreVersion(inEra(2, 10)), fixture.clock.now()).complete);
+}
--- a/tests/placement/TokenRouterTest.cpp
+++ b/tests/placement/TokenRouterTest.cpp
@@ -333,3 +333,57 @@
     CHECK(
         isReset(harness.send({ .key = flowKey(2, photoAddress), .kind = PacketKind::Opening }), DropReason::NoTarget));
 }
+
+// Guards against resets of open flows over a route that the copy lacks from which the store was restored, and against
+// routes that revert to this copy.
+TEST_CASE("TokenRouter keeps the newer configuration when the store was restored from an older copy")
+{
+    PlacementHarness harness;
+    harness.put(targetRecord(1, photoService));
+    harness.router.setRoutes(routeTable(5));
+    const FlowKey key = flowKey(1, photoAddress);
+    CHECK(harness.open(key) == tokenOfTarget(1));
+    harness.router.recordStoreRestored(harness.clock.now());
+    harness.router.setRoutes(routeTable(4, false));
+    CHECK(harness.router.routes()->version() == ConfigVersion(5));
+    for (int step = 0; step < 8; ++step) {
+        CHECK(std::holds_alternative<ForwardToTarget>(harness.sendData(key, tokenOfTarget(1))));
+        harness.clock.advance(1s);
+        harness.router.recordRoutesConfirmed(harness.clock.now());
+    }
+    CHECK(harness.open(flowKey(2, photoAddress)) == tokenOfTarget(1));
+}
+
+// Guards against resets of open flows whose route or target is in no copy yet and is known to other balancers only.
+TEST_CASE("TokenRouter resets no open flow for an unknown route or target until a restored store is complete again")
+{
+    PlacementHarness harness;
+    harness.put(targetRecord(1, photoService));
+    TokenRouter router({}, harness.targets, harness.flows, harness.chooser);
+    router.setRoutes(routeTable(1, false));
+    router.setViewCurrent(true);
+    const auto sendTo = [&](const ServiceAddress& address, FlowToken token) {
+        return router.route(
+            PacketView({}, { .key = flowKey(1, address), .token = token, .payloadBytes = 10 }), harness.clock.now());
+    };
+    const FlowToken unknown(99);
+    CHECK(std::holds_alternative<ForwardToTarget>(sendTo(photoAddress, tokenOfTarget(1))));
+    CHECK(isDrop(sendTo(boardAddress, unknown), DropReason::UnknownToken));
+    harness.clock.advance(100ms);
+    const MonotonicTime restoredAt = harness.clock.now();
+    router.recordStoreRestored(restoredAt);
+    CHECK(router.currentAnswerDue() == restoredAt + 5s);
+    harness.clock.advance(4999ms);
+    router.recordRoutesConfirmed(harness.clock.now());
+    router.recordTargetsConfirmed(harness.clock.now());
+    CHECK(std::holds_alternative<ForwardToTarget>(sendTo(photoAddress, tokenOfTarget(1))));
+    CHECK(isDrop(sendTo(boardAddress, unknown), DropReason::UnknownToken));
+    // A confirmation from within that time does not count later either.
+    harness.clock.advance(1s);
+    CHECK(std::holds_alternative<ForwardToTarget>(sendTo(photoAddress, tokenOfTarget(1))));
+    CHECK(isDrop(sendTo(boardAddress, unknown), DropReason::UnknownToken));
+    router.recordRoutesConfirmed(restoredAt + 5s);
+    router.recordTargetsConfirmed(restoredAt + 5s);
+    CHECK(isReset(sendTo(photoAddress, tokenOfTarget(1)), DropReason::UnknownAddress));
+    CHECK(isReset(sendTo(boardAddress, unknown), DropReason::UnknownToken));
+}
