platform: read the store's era and compose it into versions

Cause: after a restore the store assigns revisions again, so that a revision alone does not order versions. Change: HttpResponse gives its headers; the three readers share a StoreEraTracker. An answer of a lower era, or with an era or revision that is not valid, is a failed call. Watches send the revision only.

--- a/apps/anvilwalk-edge/main.cpp
+++ b/apps/anvilwalk-edge/main.cpp
@@ -34,21 +34,22 @@
     logOptions.balancer = settings.balancer.value();
     EventLog log(logOptions, writer, clock);
     boost::asio::io_context context(1);
+    platform::StoreEraTracker storeEra;
     platform::ObjectApiReader targets({ .store = settings.storeAddress,
                                           .kind = platform::targetsKind,
                                           .decode = &platform::decodeTargetObject,
                                           .callTimeout = storeCallTimeout },
-        context);
+        context, storeEra);
     platform::ObjectApiReader routes({ .store = settings.storeAddress,
                                          .kind = platform::routesKind,
                                          .decode = &platform::decodeRoutesObject,
                                          .callTimeout = storeCallTimeout },
-        context);
+        context, storeEra);
     platform::ObjectApiReader evacuations({ .store = settings.storeAddress,
                                               .kind = platform::evacuationsKind,
                                               .decode = &platform::decodeEvacuationObject,
                                               .callTimeout = storeCallTimeout },
-        context);
+        context, storeEra);
     HttpPeerReader peers(HttpPeerReaderOptions {}, context);
     const auto peerList = [settingsPath, known = settings.peers]() mutable {
         // The file may change without a SIGHUP. Errors in it are logged at the next reload.
--- a/packages/discovery/include/anvilwalk/discovery/HttpGetClient.h
+++ b/packages/discovery/include/anvilwalk/discovery/HttpGetClient.h
@@ -7,7 +7,11 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace anvilwalk {
 
@@ -26,6 +30,11 @@
     // HTTP status code.
     unsigned status = 0;
     std::string body;
+    // Names and values in the order of the response.
+    std::vector<std::pair<std::string, std::string>> headers {};
+
+    // Returns the first header with this name, whatever its case; nullopt if there is none.
+    std::optional<std::string_view> header(std::string_view name) const;
 };
 
 // HTTP/1.1 GET client. Sends requests over a persistent connection, which is opened on demand and closed after a failed
--- a/packages/discovery/src/HttpGetClient.cpp
+++ b/packages/discovery/src/HttpGetClient.cpp
@@ -62,6 +62,15 @@
     beast::flat_buffer m_buffer;
 };
 
+std::optional<std::string_view> HttpResponse::header(std::string_view name) const
+{
+    for (const auto& [known, value] : headers) {
+        if (beast::iequals(known, beast::string_view(name.data(), name.size())))
+            return value;
+    }
+    return std::nullopt;
+}
+
 HttpGetClient::HttpGetClient(const HttpGetClientOptions& options, asio::io_context& context)
     : m_options(options)
     , m_context(context)
@@ -95,7 +104,10 @@
         co_return unavailable("GET " + target + ": " + error.message());
     if (response.keep_alive())
         m_connection = std::move(connection);
-    co_return HttpResponse { .status = response.result_int(), .body = std::move(response.body()) };
+    HttpResponse result { .status = response.result_int(), .body = std::move(response.body()) };
+    for (const auto& field : response)
+        result.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    co_return result;
 }
 
 } // namespace anvilwalk
--- a/tests/platform/ObjectApiReaderTest.cpp
+++ b/tests/platform/ObjectApiReaderTest.cpp
@@ -14,10 +14,11 @@
 
 namespace {
 
-std::string httpResponse(const std::string& status, const std::string& body)
+// The header line for the era is left out if it is empty.
+std::string httpResponse(const std::string& status, const std::string& body, const std::string& eraLine = "")
 {
-    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
-        + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" + eraLine
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 // Runs one call to completion.
@@ -39,12 +40,13 @@
         : server(std::move(responses))
         , reader(
               { .store = server.endpoint(), .kind = targetsKind, .decode = &decodeTargetObject, .callTimeout = 300ms },
-              context)
+              context, era)
     {
     }
 
     fakes::ScriptedHttpServer server;
     asio::io_context context;
+    StoreEraTracker era;
     ObjectApiReader reader;
 };
 
@@ -148,3 +150,91 @@
     CHECK(std::chrono::steady_clock::now() - before >= 400ms);
     CHECK(std::chrono::steady_clock::now() - before < 5s);
 }
+
+namespace {
+
+const std::string emptyPage = R"({"items":[],"more":false,"as_of":8})";
+
+Result<StorePage> listFrom(Fixture& fixture)
+{
+    return complete(fixture.context, fixture.reader.list("", ReadFreshness::Current));
+}
+
+} // namespace
+
+// Guards against versions that compare wrongly after a restore, when the store assigns the same revisions again.
+TEST_CASE("ObjectApiReader puts the store's era into all versions and sends only the revision")
+{
+    const std::string deletion = R"({"events":[{"deleted":true,"object":)" + targetText + R"(}],"as_of":11})";
+    Fixture fixture(
+        { httpResponse("200 OK", R"({"items":[)" + targetText + R"(],"more":false,"as_of":8})", "store-era: 3\r\n"),
+            httpResponse("200 OK", deletion, "Store-Era: 3\r\n") });
+    const auto page = listFrom(fixture);
+    REQUIRE(isOk(page));
+    CHECK(valueOf(page).version == makeStoreVersion(StoreEra(3), 8));
+    CHECK(valueOf(page).entries.at(0).version == makeStoreVersion(StoreEra(3), 5));
+    // The scripted server closes each connection, and a watch is not repeated over a new one.
+    ObjectApiReader watcher({ .store = fixture.server.endpoint(),
+                                .kind = targetsKind,
+                                .decode = &decodeTargetObject,
+                                .callTimeout = 300ms },
+        fixture.context, fixture.era);
+    const auto changes = complete(fixture.context, watcher.watch(valueOf(page).version, 100ms, ReadFreshness::Current));
+    REQUIRE(isOk(changes));
+    CHECK(valueOf(changes).version == makeStoreVersion(StoreEra(3), 11));
+    CHECK(valueOf(changes).entries.at(0).version == makeStoreVersion(StoreEra(3), 5));
+    CHECK(fixture.server.requests().at(1).find("GET /api/objects/servers?watch=8&wait_ms=100 ") == 0);
+}
+
+// Guards against an answer of the store as it was before the restore that is applied after one of the restored store.
+TEST_CASE("ObjectApiReader rejects an answer of a lower era than any reader has seen")
+{
+    StoreEraTracker era;
+    CHECK(isOk(era.record("7")));
+    const auto outdated = era.record("6");
+    REQUIRE_FALSE(isOk(outdated));
+    CHECK(errorOf(outdated).code == ErrorCode::Unavailable);
+    // Without the header, an answer belongs to the highest era.
+    REQUIRE(isOk(era.record(std::nullopt)));
+    CHECK(valueOf(era.record(std::nullopt)) == StoreEra(7));
+
+    Fixture fixture({ httpResponse("200 OK", emptyPage, "Store-Era: 1\r\n") });
+    CHECK(isOk(fixture.era.record("2")));
+    const auto page = listFrom(fixture);
+    REQUIRE_FALSE(isOk(page));
+    CHECK(errorOf(page).code == ErrorCode::Unavailable);
+}
+
+// Guards against a reader that takes the era from the answers of its own kind of object only.
+TEST_CASE("ObjectApiReader learns the era from answers that are errors, and without a header keeps it")
+{
+    Fixture rejected({ httpResponse("410 Gone", "{}", "Store-Era: 4\r\n") });
+    CHECK(errorOf(complete(rejected.context, rejected.reader.watch(StoreVersion(8), 1ms, ReadFreshness::Current))).code
+        == ErrorCode::Gone);
+    CHECK_FALSE(isOk(rejected.era.record("3")));
+
+    Fixture plain({ httpResponse("200 OK", emptyPage) });
+    const auto page = listFrom(plain);
+    REQUIRE(isOk(page));
+    CHECK(valueOf(page).version == StoreVersion(8));
+}
+
+// Guards against a wrong era that makes every later answer appear outdated.
+TEST_CASE("ObjectApiReader rejects an answer whose era or revision is not valid, and does not remember its era")
+{
+    for (const char* value : { "", "x", "-1", "1.5", "3 4", "16777216", "99999999999999999999" }) {
+        Fixture fixture({ httpResponse("200 OK", emptyPage, "Store-Era: " + std::string(value) + "\r\n") });
+        const auto page = listFrom(fixture);
+        REQUIRE_FALSE(isOk(page));
+        CHECK(errorOf(page).code == ErrorCode::Unavailable);
+        CHECK(isOk(fixture.era.record("0")));
+    }
+    Fixture highest({ httpResponse("200 OK", emptyPage, "Store-Era: 16777215\r\n") });
+    CHECK(isOk(listFrom(highest)));
+
+    for (const char* body : { R"({"items":[],"more":false,"as_of":1099511627776})",
+             R"({"items":[{"meta":{"name":"i-1a","revision":1099511627776},"spec":{}}],"more":false,"as_of":8})" }) {
+        Fixture fixture({ httpResponse("200 OK", body) });
+        CHECK_FALSE(isOk(listFrom(fixture)));
+    }
+}
