discovery: feeds never continue across eras of the store

Cause: a watch from a revision before a restore misses the changes to which the store assigns the same revisions again. Change: an answer of a higher era makes StoreFeed list everything again; pages of a list are of one era; an answer of a lower era than is known from any source is a failed call. EvacuationFeed likewise.

--- a/apps/anvilwalk-edge/EvacuationView.h
+++ b/apps/anvilwalk-edge/EvacuationView.h
@@ -6,6 +6,7 @@
 #include <anvilwalk/placement.h>
 #include <anvilwalk/units.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -50,10 +51,13 @@
     void onChange(std::function<void()> handler) { m_onChange = std::move(handler); }
     // Sets a handler that is called when a read has become due.
     void onReadDue(std::function<void()> handler) { m_onReadDue = std::move(handler); }
+    // Sets a handler that is called with the version of each list before it is applied.
+    void onVersion(std::function<void(StoreVersion)> handler) { m_onVersion = std::move(handler); }
 
     void onEvacuations(const std::vector<StoreEntry>&, const StoreAnswer&) override;
     void onEvacuationFailure(const Error&) override;
     bool needsStaleRead() const override;
+    StoreEra highestEra() const override { return eraOf(std::max(m_version, m_lastCurrentAnswer.version)); }
     Duration untilCurrentRead() const override;
 
 private:
@@ -79,6 +83,7 @@
     MonotonicTime m_retainedUntil;
     std::function<void()> m_onChange;
     std::function<void()> m_onReadDue;
+    std::function<void(StoreVersion)> m_onVersion;
 };
 
 } // namespace anvilwalk
--- a/packages/discovery/include/anvilwalk/discovery/EvacuationFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/EvacuationFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <anvilwalk/discovery/RetryBackoff.h>
+#include <anvilwalk/discovery/StoreEra.h>
 #include <anvilwalk/discovery/StoreFeed.h>
 #include <anvilwalk/discovery/StoreReader.h>
 #include <anvilwalk/units.h>
@@ -26,6 +27,8 @@
     virtual void onEvacuationFailure(const Error&) = 0;
     // Whether a stale read may bring news or a confirmation.
     virtual bool needsStaleRead() const = 0;
+    // Highest era that is known from any source; lists of lower eras count as failed calls.
+    virtual StoreEra highestEra() const { return {}; }
     // Time until the list is too old to wait for a stale read or for a relay.
     virtual Duration untilCurrentRead() const = 0;
 };
@@ -53,6 +56,7 @@
 
 private:
     boost::asio::awaitable<bool> read(ReadFreshness);
+    // Returns pages of one era.
     boost::asio::awaitable<Result<StorePage>> readAllPages(ReadFreshness);
     // Ends early on wake().
     boost::asio::awaitable<void> waitUntilWoken(Duration);
--- a/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/StoreFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <anvilwalk/discovery/RetryBackoff.h>
+#include <anvilwalk/discovery/StoreEra.h>
 #include <anvilwalk/discovery/StoreReader.h>
 #include <anvilwalk/units.h>
 
@@ -35,6 +36,11 @@
     virtual void onReachable() = 0;
     // The store responded to a call. Called before the entries of the response are delivered.
     virtual void onResponse(const StoreAnswer&) = 0;
+    // An answer was of a higher era than the data, so the store was restored from an older copy. The answer is not
+    // delivered; the feed lists all entries again.
+    virtual void onRestored(StoreEra) { }
+    // Highest era that is known from any source; answers of lower eras count as failed calls.
+    virtual StoreEra highestEra() const { return {}; }
     // Time until a decision needs a read that is not stale; nullopt if none does.
     virtual std::optional<Duration> untilCurrentRead() const { return std::nullopt; }
     // Time for which the store need not be read, because other balancers pass its changes on.
@@ -71,9 +77,10 @@
 };
 
 // Keeps a replica of one kind of entry up to date: lists all entries, then watches for changes, and lists again after
-// each failed watch. A list whose page request was rejected resumes at that page, because many balancers that start at
-// the same time request more pages per second than the store serves; for the same reason lists are stale reads, which
-// the store does not limit.
+// each failed watch, and after an answer of a higher era than the data: the restored store assigns revisions again, so
+// a watch from an earlier one misses changes. A list whose page request was rejected resumes at that page, because many
+// balancers that start at the same time request more pages per second than the store serves; for the same reason lists
+// are stale reads, which the store does not limit.
 class StoreFeed {
 public:
     StoreFeed(const StoreFeedOptions&, boost::asio::io_context&, StoreReader&, StoreFeedObserver&, const Clock&);
@@ -85,7 +92,7 @@
     // State of a paginated list in progress.
     struct Listing {
         std::vector<StoreEntry> entries;
-        // Version of the oldest page, so that a watch from this version misses no change.
+        // Version of the oldest page, so that a watch from this version misses no change. All pages are of one era.
         StoreVersion version;
         // The next page starts after this name.
         std::string after;
@@ -100,6 +107,10 @@
     void resumeAfterPause();
     boost::asio::awaitable<bool> fetchSnapshot();
     boost::asio::awaitable<bool> fetchPages(ReadFreshness);
+    // Whether an answer is of a lower era than one that is known; if so, records the call as failed.
+    bool isOutdated(StoreVersion answer);
+    // Discards the data and the list in progress because an answer was of a higher era.
+    void restart(StoreEra);
     // Reads the changes since a stale list without waiting for new ones.
     boost::asio::awaitable<bool> fetchChangesSinceList();
     std::chrono::milliseconds longestWait() const;
--- a/packages/discovery/src/EvacuationFeed.cpp
+++ b/packages/discovery/src/EvacuationFeed.cpp
@@ -46,6 +46,11 @@
         m_observer.onEvacuationFailure(errorOf(list));
         co_return false;
     }
+    if (eraOf(valueOf(list).version) < m_observer.highestEra()) {
+        m_observer.onEvacuationFailure(
+            { .code = ErrorCode::Unavailable, .message = "answer of a lower store era than the known one" });
+        co_return false;
+    }
     m_backoff.reset();
     StoreAnswer answer { .version = valueOf(list).version, .currentAt = std::nullopt };
     if (freshness == ReadFreshness::Current)
@@ -63,6 +68,8 @@
         if (!isOk(result))
             co_return errorOf(result);
         StorePage& page = valueOf(result);
+        if (!after.empty() && eraOf(page.version) != eraOf(list.version))
+            co_return Error { .code = ErrorCode::Unavailable, .message = "the store was restored during a list" };
         // The list is as old as its oldest page.
         list.version = after.empty() ? page.version : std::min(list.version, page.version);
         const std::string last = page.entries.empty() ? std::string() : page.entries.back().name;
--- a/packages/discovery/src/StoreFeed.cpp
+++ b/packages/discovery/src/StoreFeed.cpp
@@ -96,8 +96,14 @@
             handleFailure(errorOf(result));
             co_return false;
         }
-        m_backoff.reset();
         StorePage& page = valueOf(result);
+        if (isOutdated(page.version))
+            co_return false;
+        m_backoff.reset();
+        if (!after.empty() && eraOf(page.version) > eraOf(m_listing.version)) {
+            restart(eraOf(page.version));
+            continue;
+        }
         // The first page has no predecessor.
         m_listing.version = after.empty() ? page.version : std::min(m_listing.version, page.version);
         const std::string last = lastName(page.entries);
@@ -121,11 +127,35 @@
         handleFailure(errorOf(result));
         co_return false;
     }
+    if (isOutdated(valueOf(result).version))
+        co_return false;
+    if (eraOf(valueOf(result).version) > eraOf(m_listing.version)) {
+        restart(eraOf(valueOf(result).version));
+        co_return true;
+    }
     deliverListing(ReadFreshness::MayBeStale);
     applyChanges(valueOf(result), currentTimeOf(valueOf(result), start, immediateWait));
     co_return true;
 }
 
+bool StoreFeed::isOutdated(StoreVersion answer)
+{
+    // The version of an incomplete list counts as well, so that no list continues in a lower era.
+    const StoreEra known = std::max({ m_observer.highestEra(), eraOf(m_version), eraOf(m_listing.version) });
+    if (eraOf(answer) >= known)
+        return false;
+    handleFailure({ .code = ErrorCode::Unavailable, .message = "answer of a lower store era than the known one" });
+    return true;
+}
+
+void StoreFeed::restart(StoreEra era)
+{
+    m_backoff.reset();
+    m_hasSnapshot = false;
+    m_listing = {};
+    m_observer.onRestored(era);
+}
+
 void StoreFeed::deliverListing(ReadFreshness freshness)
 {
     const Listing listing = std::exchange(m_listing, {});
@@ -166,6 +196,14 @@
         handleFailure(errorOf(result));
         co_return false;
     }
+    if (isOutdated(valueOf(result).version)) {
+        m_hasSnapshot = false;
+        co_return false;
+    }
+    if (eraOf(valueOf(result).version) > eraOf(m_version)) {
+        restart(eraOf(valueOf(result).version));
+        co_return true;
+    }
     std::optional<MonotonicTime> currentAt;
     if (freshness == ReadFreshness::Current)
         currentAt = currentTimeOf(valueOf(result), start, wait);
--- a/tests/discovery/EvacuationFeedTest.cpp
+++ b/tests/discovery/EvacuationFeedTest.cpp
@@ -58,12 +58,14 @@
         known = true;
     }
     void onEvacuationFailure(const Error&) override { ++failures; }
+    StoreEra highestEra() const override { return highest; }
     bool needsStaleRead() const override { return !known || readAgain; }
     Duration untilCurrentRead() const override { return currentReadDue ? 0s : 1h; }
 
     std::vector<std::string> names;
     std::vector<StoreAnswer> answers;
     int failures = 0;
+    StoreEra highest;
     bool known = false;
     bool readAgain = false;
     bool currentReadDue = false;
@@ -145,3 +147,25 @@
     fixture.context.poll();
     CHECK(fixture.store.calls.size() == 1);
 }
+
+// Guards against a list that holds evacuations from before a restore of the store besides those of the copy, and
+// against one from before it that is taken for a confirmation.
+TEST_CASE("EvacuationFeed reports only lists of one era and of no lower one than is known")
+{
+    Fixture fixture;
+    const auto inEra
+        = [](std::uint32_t era, std::uint64_t revision) { return makeStoreVersion(StoreEra(era), revision).value(); };
+    SECTION("pages of two eras")
+    {
+        fixture.store.pages = { page({ "lima-a" }, inEra(1, 8), true), page({ "lima-b" }, inEra(2, 7)) };
+    }
+    SECTION("a list of a lower era")
+    {
+        fixture.observer.highest = StoreEra(2);
+        fixture.store.pages = { page({ "lima-a" }, inEra(1, 9)) };
+    }
+    fixture.run();
+    CHECK(fixture.observer.answers.empty());
+    // The second failure is the call that ends the test.
+    CHECK(fixture.observer.failures == 2);
+}
--- a/tests/discovery/StoreFeedTest.cpp
+++ b/tests/discovery/StoreFeedTest.cpp
@@ -85,14 +85,17 @@
 };
 
 struct RecordingObserver final : StoreFeedObserver {
-    void onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion) override
+    void onSnapshot(const std::vector<StoreEntry>& entries, StoreVersion version) override
     {
         snapshots.push_back(entries.size());
+        snapshotVersions.push_back(version);
     }
     void onChanges(const std::vector<StoreEntry>& entries, StoreVersion) override { changes.push_back(entries.size()); }
     void onReachable() override { ++reachableCount; }
     void onResponse(const StoreAnswer& answer) override { answers.push_back(answer); }
     void onFailure(const Error&) override { ++failures; }
+    void onRestored(StoreEra era) override { restored.push_back(era); }
+    StoreEra highestEra() const override { return highest; }
     std::optional<Duration> untilCurrentRead() const override { return currentReadIn; }
     Duration untilNeeded() const override
     {
@@ -104,6 +107,9 @@
     bool hasRelays() const override { return relays; }
 
     std::vector<std::size_t> snapshots;
+    std::vector<StoreVersion> snapshotVersions;
+    std::vector<StoreEra> restored;
+    StoreEra highest;
     std::vector<std::size_t> changes;
     std::vector<StoreAnswer> answers;
     int reachableCount = 0;
@@ -395,3 +401,112 @@
     CHECK(callsDuringOutage(true) <= 13);
     CHECK(callsDuringOutage(false) >= 40);
 }
+
+namespace {
+
+StoreVersion inEra(std::uint32_t era, std::uint64_t revision) { return makeStoreVersion(StoreEra(era), revision); }
+
+std::string watchCall(StoreVersion from) { return "watch " + std::to_string(from.value()); }
+
+StorePage pageAt(StoreVersion version, std::vector<StoreEntry> entries = {}, bool more = false)
+{
+    return { .entries = std::move(entries), .more = more, .version = version };
+}
+
+} // namespace
+
+// Guards against changes that are missed after a restore: the store assigns again the revisions up to that of the
+// watch.
+TEST_CASE("StoreFeed lists again instead of applying the changes of a higher era")
+{
+    Fixture fixture;
+    fixture.reader.pages = { pageAt(inEra(1, 50), { entry("a", 1), entry("b", 2) }), pageAt(inEra(2, 41)) };
+    fixture.reader.changes = { StoreChanges { .entries = { entry("c", 51) }, .version = inEra(2, 51) },
+        StoreChanges { .entries = { entry("d", 52) }, .version = inEra(2, 52) } };
+    fixture.run();
+    CHECK(fixture.reader.calls
+        == std::vector<std::string> {
+            "list ", watchCall(inEra(1, 50)), "list ", watchCall(inEra(2, 41)), watchCall(inEra(2, 52)) });
+    CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 2, 0 });
+    CHECK(fixture.observer.snapshotVersions == std::vector<StoreVersion> { inEra(1, 50), inEra(2, 41) });
+    CHECK(fixture.observer.changes == std::vector<std::size_t> { 1 });
+    CHECK(fixture.observer.restored == std::vector<StoreEra> { StoreEra(2) });
+    // The answer that was not applied confirms nothing.
+    REQUIRE(fixture.observer.answers.size() == 3);
+    CHECK(fixture.observer.answers[1].version == inEra(2, 41));
+    // Only the call that ends the test failed.
+    CHECK(fixture.observer.failures == 1);
+}
+
+// Guards against a list that holds entries from before a restore besides those of the copy.
+TEST_CASE("StoreFeed starts a list again when a page is of a higher era")
+{
+    Fixture fixture;
+    fixture.reader.pages = { pageAt(inEra(1, 50), { entry("a", 1), entry("b", 2) }, true),
+        pageAt(inEra(2, 41), { entry("c", 3) }), pageAt(inEra(2, 42), { entry("a", 1) }) };
+    fixture.run();
+    CHECK(fixture.reader.calls == std::vector<std::string> { "list ", "list b", "list ", watchCall(inEra(2, 42)) });
+    CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 1 });
+    CHECK(fixture.observer.snapshotVersions == std::vector<StoreVersion> { inEra(2, 42) });
+}
+
+// Guards against a stale list from before a restore to which the changes of the restored store are added.
+TEST_CASE("StoreFeed discards a stale list when the changes since are of a higher era")
+{
+    Fixture fixture;
+    fixture.allowStale = true;
+    fixture.reader.pages = { pageAt(inEra(1, 50), { entry("a", 1), entry("b", 2) }), pageAt(inEra(2, 41)) };
+    fixture.reader.changes = { StoreChanges { .entries = { entry("c", 51) }, .version = inEra(2, 51) },
+        StoreChanges { .entries = {}, .version = inEra(2, 51) } };
+    fixture.run();
+    CHECK(fixture.reader.calls
+        == std::vector<std::string> {
+            "list ", watchCall(inEra(1, 50)), "list ", watchCall(inEra(2, 41)), watchCall(inEra(2, 51)) });
+    CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 0 });
+    CHECK(fixture.observer.changes.empty());
+}
+
+// Guards against answers of both eras that cross: a delayed one would bring back what the restored store lacks.
+TEST_CASE("StoreFeed takes an answer of a lower era for a failed call")
+{
+    Fixture fixture;
+    SECTION("to a watch")
+    {
+        fixture.reader.pages = { pageAt(inEra(2, 41)), pageAt(inEra(2, 43)) };
+        fixture.reader.changes = { StoreChanges { .entries = { entry("c", 51) }, .version = inEra(1, 60) } };
+        fixture.run();
+        CHECK(fixture.observer.snapshotVersions == std::vector<StoreVersion> { inEra(2, 41), inEra(2, 43) });
+        CHECK(fixture.observer.changes.empty());
+    }
+    SECTION("to a list, while only other balancers know the higher era")
+    {
+        fixture.observer.highest = StoreEra(2);
+        fixture.reader.pages = { pageAt(inEra(1, 60), { entry("a", 1) }), pageAt(inEra(2, 41)) };
+        fixture.run();
+        CHECK(fixture.observer.snapshotVersions == std::vector<StoreVersion> { inEra(2, 41) });
+    }
+    SECTION("to a list, after a page of the higher era")
+    {
+        fixture.reader.pages = { pageAt(inEra(2, 41), { entry("a", 1) }, true), pageAt(inEra(1, 60), { entry("b", 1) }),
+            pageAt(inEra(2, 42), { entry("c", 1) }) };
+        fixture.run();
+        CHECK(
+            fixture.reader.calls == std::vector<std::string> { "list ", "list a", "list a", watchCall(inEra(2, 41)) });
+        CHECK(fixture.observer.snapshots == std::vector<std::size_t> { 2 });
+    }
+    CHECK(fixture.observer.failures == 2);
+}
+
+// Guards against a balancer that continues from what relays have passed on and mixes it with an earlier list.
+TEST_CASE("StoreFeed lists again when other balancers have passed on a lower era than the store's")
+{
+    Fixture fixture;
+    fixture.observer.pauses = 1;
+    fixture.observer.passedOn = inEra(1, 70);
+    fixture.reader.pages = { pageAt(inEra(2, 41)) };
+    fixture.reader.changes = { StoreChanges { .entries = { entry("c", 51) }, .version = inEra(2, 71) } };
+    fixture.run();
+    CHECK(
+        fixture.reader.calls == std::vector<std::string> { watchCall(inEra(1, 70)), "list ", watchCall(inEra(2, 41)) });
+    CHECK(fixture.observer.changes.empty());
+}
