edge: notice a restore of the store in any answer or relay's status

Change: RoutingView keeps the highest era, records a rise for the catalogue and the router, logs era_rose, and takes no confirmation from relays or peers of a lower era. Gauge store_era.

--- a/apps/anvilwalk-edge/EdgeBalancer.cpp
+++ b/apps/anvilwalk-edge/EdgeBalancer.cpp
@@ -265,6 +265,7 @@
 
 void EdgeBalancer::onRelayStatus(const Member& relay, const ViewStatus& status)
 {
+    m_view.recordRelayStatus(status);
     if (status.evacuations)
         m_view.evacuations().adopt(*status.evacuations, m_clock.now());
     m_relayFeed.handleStatus(relay, status);
@@ -313,6 +314,7 @@
         .targets = m_targets.size(),
         .trackedFlows = m_flows.size(),
         .configVersion = m_router.routes() ? m_router.routes()->version().value() : 0,
+        .storeEra = m_view.storeEra(),
         .targetsAge = m_view.targetsAge(),
         .routesAge = m_view.routesAge(),
         .logLinesLost = m_logWriter.linesLost(),
--- a/apps/anvilwalk-edge/EdgeMetrics.cpp
+++ b/apps/anvilwalk-edge/EdgeMetrics.cpp
@@ -101,6 +101,7 @@
         gauge("targets", "Targets known, those that ended lately included.", static_cast<double>(sample.targets)),
         gauge("tracked_flows", "Flows followed for choices.", static_cast<double>(sample.trackedFlows)),
         gauge("config_version", "Version of the routes in force.", static_cast<double>(sample.configVersion)),
+        gauge("store_era", "Highest era of the store that this balancer knows of.", sample.storeEra.value()),
         gauge("targets_age_seconds", "Time since the store last confirmed the targets.", toSeconds(sample.targetsAge)),
         gauge("routes_age_seconds", "Time since the store last confirmed the routes.", toSeconds(sample.routesAge)),
         counter("peer_views_total", "Views and changes received from other balancers.", sample.peerViewsApplied),
--- a/apps/anvilwalk-edge/EdgeMetrics.h
+++ b/apps/anvilwalk-edge/EdgeMetrics.h
@@ -18,6 +18,7 @@
     std::size_t targets = 0;
     std::size_t trackedFlows = 0;
     std::uint64_t configVersion = 0;
+    StoreEra storeEra {};
     Duration targetsAge { 0 };
     Duration routesAge { 0 };
     std::uint64_t logLinesLost = 0;
--- a/apps/anvilwalk-edge/EvacuationView.cpp
+++ b/apps/anvilwalk-edge/EvacuationView.cpp
@@ -82,6 +82,8 @@
 
 void EvacuationView::apply(std::vector<DataCentreId> listed, StoreVersion version)
 {
+    if (m_onVersion)
+        m_onVersion(version);
     retainAfterRestore(listed, version);
     sortUnique(listed);
     m_version = std::max(m_version, version);
--- a/apps/anvilwalk-edge/RoutingView.cpp
+++ b/apps/anvilwalk-edge/RoutingView.cpp
@@ -31,6 +31,7 @@
     , m_targetObserver(*this, "targets")
     , m_routeObserver(*this, "routes")
 {
+    m_evacuations.onVersion([this](StoreVersion version) { recordVersion(version, "evacuations"); });
     m_evacuations.onChange([this] {
         notifyIfComplete();
         notifyChange();
@@ -46,6 +47,7 @@
 
 void RoutingView::FeedObserver::onResponse(const StoreAnswer& answer)
 {
+    m_view.recordVersion(answer.version, m_feed);
     answeredVersion = std::max(answeredVersion, answer.version);
     if (answer.currentAt)
         confirmedAt = std::max(confirmedAt, *answer.currentAt);
@@ -134,6 +136,29 @@
     m_view.notifyChange();
 }
 
+void RoutingView::recordVersion(StoreVersion version, std::string_view source)
+{
+    // Version 0 stands for data that the source does not have.
+    if (version != StoreVersion())
+        recordEra(eraOf(version), source);
+}
+
+void RoutingView::recordEra(StoreEra era, std::string_view source)
+{
+    if (!m_era) {
+        m_era = era;
+        return;
+    }
+    if (era <= *m_era)
+        return;
+    const StoreEra old = std::exchange(*m_era, era);
+    const MonotonicTime now = m_clock.now();
+    m_targets.recordStoreRestored(now);
+    m_router.recordStoreRestored(now);
+    m_log.write(EventKind::Store, "era_rose", logField("feed", source), logField("old_era", old.value()),
+        logField("new_era", era.value()));
+}
+
 void RoutingView::confirmTargets()
 {
     if (m_lastCurrentAnswer.currentAt && m_targetObserver.answeredVersion >= m_lastCurrentAnswer.version)
@@ -186,8 +211,11 @@
 
 void RoutingView::onPeerView(const ViewSnapshot& view, const Ipv4Endpoint& peer)
 {
+    recordVersion(view.targetsVersion, "peer");
     const KnownVersions known = knownVersions();
-    if (view.targetsVersion > known.targets)
+    // Without any targets, those from before a restore are better than none.
+    const bool isOfKnownEra = !m_hasTargets || eraOf(view.targetsVersion) == storeEra();
+    if (view.targetsVersion > known.targets && isOfKnownEra)
         applyPeerTargets(view);
     if (view.routes && view.routes->version() > known.config)
         setRoutes(view.routes);
@@ -222,6 +250,10 @@
 
 void RoutingView::onRelayConfirmation(const ViewStatus& status, MonotonicTime receivedAt)
 {
+    recordVersion(status.targets, "relay");
+    // A relay whose targets are of a lower era has not read the restored store yet.
+    if (eraOf(status.targets) < storeEra())
+        return;
     m_targetObserver.answeredVersion = std::max(m_targetObserver.answeredVersion, status.targets);
     m_targetObserver.passedOn = m_targetObserver.answeredVersion;
     m_relayTargetsAt = std::max(m_relayTargetsAt, receivedAt - status.targetsAge);
--- a/apps/anvilwalk-edge/RoutingView.h
+++ b/apps/anvilwalk-edge/RoutingView.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace anvilwalk {
@@ -55,6 +56,10 @@
     bool isConfirmedByRelay() const { return relayConfirmationRemaining() > Duration::zero(); }
     // Whether a decision about a missing target or an unknown token now waits for a read of targets that is not stale.
     bool needsCurrentTargets() const;
+    // Highest era of the store that this balancer knows of; 0 before the first one.
+    StoreEra storeEra() const { return m_era.value_or(StoreEra()); }
+    // Records the era of a relay's status, whether or not the status confirms this view.
+    void recordRelayStatus(const ViewStatus& status) { recordVersion(status.targets, "relay"); }
     // Recomputes what depends on the age of the view, and logs a change of this balancer's role.
     void refresh();
     std::uint64_t peerViewsApplied() const { return m_peerViewsApplied; }
@@ -83,6 +88,8 @@
         void onReachable() override;
         void onResponse(const StoreAnswer&) override;
         void onFailure(const Error&) override;
+        void onRestored(StoreEra era) override { m_view.recordEra(era, m_feed); }
+        StoreEra highestEra() const override { return m_view.storeEra(); }
         Duration untilNeeded() const override { return m_view.untilStoreNeeded(); }
         bool hasRelays() const override { return m_view.isComplete() && m_view.isFollower(); }
 
@@ -120,6 +127,10 @@
         void onChanges(const std::vector<StoreEntry>&, StoreVersion) override;
     };
 
+    // Records the era of data from the given source. A higher one than before shows that the store was restored from an
+    // older copy; what the copy lacks is then no evidence against open flows for a time.
+    void recordEra(StoreEra, std::string_view source);
+    void recordVersion(StoreVersion, std::string_view source);
     void putTarget(const StoreEntry&, MonotonicTime now);
     void putRoutes(const StoreEntry&);
     void setRoutes(const RouteTablePointer&);
@@ -150,6 +161,8 @@
     EventLog& m_log;
     const Clock& m_clock;
     MonotonicTime m_startedAt;
+    // nullopt until the first version is known.
+    std::optional<StoreEra> m_era;
     MemberRole m_loggedRole = MemberRole::Independent;
     EvacuationView m_evacuations;
     TargetObserver m_targetObserver;
--- a/tests/edge/DecisionLogTest.cpp
+++ b/tests/edge/DecisionLogTest.cpp
@@ -102,10 +102,11 @@
     ResponseHistogram responses;
     responses.add(40ms);
     responses.add(20s);
-    const std::string text
-        = renderMetrics({ .router = router, .packets = packets, .responses = responses, .configVersion = 9 });
+    const std::string text = renderMetrics(
+        { .router = router, .packets = packets, .responses = responses, .configVersion = 9, .storeEra = StoreEra(3) });
     for (const char* expected : { "anvilwalk_edge_packets_received_total 7", "anvilwalk_edge_openings_total 3",
              "anvilwalk_edge_resets_total{reason=\"target_gone\"} 2", "anvilwalk_edge_config_version 9",
-             "anvilwalk_edge_response_seconds_count 2", "anvilwalk_edge_response_seconds_bucket{le=\"0.05\"} 1" })
+             "anvilwalk_edge_store_era 3", "anvilwalk_edge_response_seconds_count 2",
+             "anvilwalk_edge_response_seconds_bucket{le=\"0.05\"} 1" })
         CHECK(text.find(expected) != std::string::npos);
 }
--- a/tests/edge/RoutingViewTest.cpp
+++ b/tests/edge/RoutingViewTest.cpp
@@ -2,6 +2,7 @@
 #include <fakes/PlacementHarness.h>
 #include <fakes/RecordedLines.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace anvilwalk;
@@ -446,3 +447,143 @@
     scene.clock.advance(100ms);
     CHECK(view.targetObserver().untilNeeded() <= Duration::zero());
 }
+
+namespace {
+
+std::uint64_t inEra(std::uint32_t era, std::uint64_t revision)
+{
+    return makeStoreVersion(StoreEra(era), revision).value();
+}
+
+std::size_t countLines(const RecordedLines& lines, std::string_view text)
+{
+    return static_cast<std::size_t>(std::count_if(lines.lines.begin(), lines.lines.end(),
+        [&](const std::string& line) { return line.find(text) != std::string::npos; }));
+}
+
+// A balancer that has read targets 1 and 2 and configuration 8 from the store in era 1.
+struct RestoreFixture : Fixture {
+    RestoreFixture()
+    {
+        answerTargets(inEra(1, 30), { targetEntry(1, inEra(1, 25)), targetEntry(2, inEra(1, 29)) });
+        view.routeObserver().onResponse(currentAnswer(inEra(1, 30), scene.clock));
+        view.routeObserver().onReachable();
+        view.routeObserver().onSnapshot(
+            { { .name = "main", .version = StoreVersion(inEra(1, 28)), .content = routeTable(8), .error = {} } },
+            StoreVersion(inEra(1, 30)));
+        scene.clock.advance(10s);
+        flows.recordOpening(flowKey(1), tokenOfTarget(2), scene.clock.now());
+    }
+    Decision sendData(FlowToken token, std::uint32_t flow = 1)
+    {
+        return router.route(
+            PacketView({}, { .key = flowKey(flow), .token = token, .payloadBytes = 10 }), scene.clock.now());
+    }
+    TargetPresence presence(std::uint64_t number)
+    {
+        scene.targets.expire(scene.clock.now());
+        return scene.targets.find(tokenOfTarget(number))->presence;
+    }
+};
+
+} // namespace
+
+// Guards against resets of the flows of running targets that the copy lacks from which the store was restored.
+TEST_CASE("After a restore of the store, targets that it lacks are missing and no open flow is reset")
+{
+    RestoreFixture fixture;
+    CHECK(fixture.view.storeEra() == StoreEra(1));
+    CHECK(countLines(fixture.lines, "era_rose") == 0);
+    fixture.answerTargets(inEra(2, 27), { targetEntry(1, inEra(2, 25)) });
+    CHECK(fixture.view.storeEra() == StoreEra(2));
+    CHECK(countLines(fixture.lines, "era_rose") == 1);
+    CHECK(countLines(fixture.lines, "\"old_era\":1,\"new_era\":2") == 1);
+    for (int step = 0; step < 6; ++step) {
+        CHECK(fixture.presence(2) == TargetPresence::Missing);
+        CHECK(std::holds_alternative<ForwardToTarget>(fixture.sendData(tokenOfTarget(2))));
+        CHECK_FALSE(std::holds_alternative<ResetFlow>(fixture.sendData(FlowToken(99), 2)));
+        fixture.scene.clock.advance(700ms);
+        fixture.view.targetObserver().onResponse(currentAnswer(inEra(2, 28), fixture.scene.clock));
+        // No read decides anything before the entries can have been written again.
+        CHECK_FALSE(fixture.view.needsCurrentTargets());
+    }
+    SECTION("the target writes its entry again")
+    {
+        fixture.view.targetObserver().onChanges({ targetEntry(2, inEra(2, 29)) }, StoreVersion(inEra(2, 29)));
+        fixture.scene.clock.advance(3s);
+        fixture.view.targetObserver().onResponse(currentAnswer(inEra(2, 30), fixture.scene.clock));
+        CHECK(fixture.presence(2) == TargetPresence::Listed);
+        CHECK(std::holds_alternative<ForwardToTarget>(fixture.sendData(tokenOfTarget(2))));
+    }
+    SECTION("the target has ended")
+    {
+        fixture.scene.clock.advance(800ms);
+        fixture.view.targetObserver().onResponse(currentAnswer(inEra(2, 30), fixture.scene.clock));
+        CHECK(fixture.presence(2) == TargetPresence::Gone);
+        CHECK(std::holds_alternative<ResetFlow>(fixture.sendData(tokenOfTarget(2))));
+    }
+}
+
+// Guards against a configuration that goes back to the copy's, and against a balancer that learns of a restore only
+// when its targets are read.
+TEST_CASE("A restore is noticed in an answer about routes, and the newer configuration stays")
+{
+    RestoreFixture fixture;
+    fixture.view.routeObserver().onResponse(currentAnswer(inEra(2, 27), fixture.scene.clock));
+    fixture.view.routeObserver().onSnapshot(
+        { { .name = "main", .version = StoreVersion(inEra(2, 20)), .content = routeTable(7, false), .error = {} } },
+        StoreVersion(inEra(2, 27)));
+    CHECK(fixture.view.storeEra() == StoreEra(2));
+    CHECK(fixture.router.routes()->version() == ConfigVersion(8));
+    CHECK(fixture.router.routes()->find(photoAddress) != nullptr);
+    // The feed of targets drops answers from before the restore.
+    CHECK(fixture.view.targetObserver().highestEra() == StoreEra(2));
+    // Removals that the targets' feed reports now may be those of the copy.
+    fixture.answerTargets(inEra(2, 27), {});
+    CHECK(fixture.presence(1) == TargetPresence::Missing);
+    CHECK(countLines(fixture.lines, "era_rose") == 1);
+    fixture.view.routeObserver().onRestored(StoreEra(2));
+    CHECK(countLines(fixture.lines, "era_rose") == 1);
+    fixture.view.targetObserver().onRestored(StoreEra(3));
+    CHECK(countLines(fixture.lines, "era_rose") == 2);
+    CHECK(fixture.view.storeEra() == StoreEra(3));
+}
+
+// Guards against decisions that rest on a relay which has not read the restored store yet.
+TEST_CASE("A relay or peer of a lower era confirms nothing")
+{
+    RestoreFixture fixture;
+    fixture.view.recordRelayStatus(relayStatus(inEra(2, 27), 8, 0s));
+    CHECK(fixture.view.storeEra() == StoreEra(2));
+    CHECK(countLines(fixture.lines, "era_rose") == 1);
+    const Duration age = fixture.view.targetsAge();
+    CHECK(age == 10s);
+    fixture.view.onRelayConfirmation(relayStatus(inEra(1, 90), 8, 0s), fixture.scene.clock.now());
+    CHECK(fixture.view.targetsAge() == age);
+    CHECK(fixture.view.routesAge() == age);
+    CHECK_FALSE(fixture.view.isConfirmedByRelay());
+    CHECK(fixture.view.targetsVersion() == StoreVersion(inEra(1, 30)));
+    // Its targets are not taken over either, whatever their revision.
+    ViewSnapshot old = peerView(inEra(1, 90), 9, {});
+    old.evacuations = std::nullopt;
+    fixture.view.onPeerView(old, peer);
+    CHECK(fixture.presence(1) == TargetPresence::Listed);
+    // A higher configuration version is in force, whatever the era.
+    CHECK(fixture.router.routes()->version() == ConfigVersion(9));
+
+    fixture.view.onPeerView(peerView(inEra(2, 28), 9, { 1 }), peer);
+    CHECK(fixture.presence(2) == TargetPresence::Missing);
+    fixture.view.onRelayConfirmation(relayStatus(inEra(2, 28), 9, 0s), fixture.scene.clock.now());
+    CHECK(fixture.view.isConfirmedByRelay());
+    CHECK(fixture.view.targetObserver().passedOnVersion() == StoreVersion(inEra(2, 28)));
+}
+
+// Guards against a first answer that is taken for a restore, which would delay resets after each start.
+TEST_CASE("The first era that a balancer learns is no restore, and a version of 0 tells no era")
+{
+    Fixture fixture;
+    fixture.view.recordRelayStatus(relayStatus(0, 0, 0s));
+    fixture.answerTargets(inEra(4, 30), { targetEntry(1, inEra(4, 25)) });
+    CHECK(fixture.view.storeEra() == StoreEra(4));
+    CHECK(countLines(fixture.lines, "era_rose") == 0);
+}
