--- a/packages/discovery/include/anvilwalk/discovery.h
+++ b/packages/discovery/include/anvilwalk/discovery.h
@@ -9,7 +9,6 @@
 #include <anvilwalk/discovery/PeerViewFeed.h>
 #include <anvilwalk/discovery/RelayFeed.h>
 #include <anvilwalk/discovery/RetryBackoff.h>
-#include <anvilwalk/discovery/StoreEra.h>
 #include <anvilwalk/discovery/StoreFeed.h>
 #include <anvilwalk/discovery/StoreReader.h>
 #include <anvilwalk/discovery/ViewSnapshot.h>
--- a/packages/discovery/include/anvilwalk/discovery/EvacuationFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/EvacuationFeed.h
@@ -26,6 +26,8 @@
     virtual void onEvacuationFailure(const Error&) = 0;
     // Whether a stale read may bring news or a confirmation.
     virtual bool needsStaleRead() const = 0;
+    // Highest era that is known from any source; lists of lower eras count as failed calls.
+    virtual StoreEra highestEra() const { return {}; }
     // Time until the list is too old to wait for a stale read or for a relay.
     virtual Duration untilCurrentRead() const = 0;
 };
@@ -53,6 +55,7 @@
 
 private:
     boost::asio::awaitable<bool> read(ReadFreshness);
+    // Returns pages of one era.
     boost::asio::awaitable<Result<StorePage>> readAllPages(ReadFreshness);
     // Ends early on wake().
     boost::asio::awaitable<void> waitUntilWoken(Duration);
--- a/packages/placement/include/anvilwalk/placement.h
+++ b/packages/placement/include/anvilwalk/placement.h
@@ -9,6 +9,7 @@
 #include <anvilwalk/placement/PlacementObserver.h>
 #include <anvilwalk/placement/RouteTable.h>
 #include <anvilwalk/placement/SharedTargetLoad.h>
+#include <anvilwalk/placement/StoreEra.h>
 #include <anvilwalk/placement/Target.h>
 #include <anvilwalk/placement/TargetCatalogue.h>
 #include <anvilwalk/placement/TargetChooser.h>
--- a/packages/discovery/include/anvilwalk/discovery/StoreEra.h
+++ b/packages/placement/include/anvilwalk/placement/StoreEra.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <anvilwalk/units.h>
+#include <anvilwalk/units/Ids.h>
+#include <anvilwalk/units/StrongId.h>
 
 #include <cstdint>
 
