placement: flows cross data centres only under load; the most urgent are never refused

Change: below 2 requests a slot of the own data centre the penalty is that of a choice by the own sample.

--- a/apps/anvilwalk/WhereCommand.cpp
+++ b/apps/anvilwalk/WhereCommand.cpp
@@ -55,7 +55,8 @@
                   << ". Use the metrics address of anvilwalk-edge.\n";
         return ExitCode::StoreUnavailable;
     }
-    const auto& [status, body] = valueOf(response);
+    const unsigned status = valueOf(response).status;
+    const std::string& body = valueOf(response).body;
     if (status != httpOk) {
         std::cerr << "The server at " << balancer->toString() << " answered with HTTP status " << status
                   << (status == httpNotFound ? "; it is no metrics address of an anvilwalk-edge that knows this command"
--- a/packages/discovery/src/EvacuationFeed.cpp
+++ b/packages/discovery/src/EvacuationFeed.cpp
@@ -33,7 +33,7 @@
         }
         if (!co_await read(currentReadDue ? ReadFreshness::Current : ReadFreshness::MayBeStale))
             co_await sleepFor(m_backoff.next(m_options.retryDelay, m_options.maxRetryDelay));
-        else if (m_observer.needsStaleRead())
+        else if (m_observer.needsStaleRead() || m_observer.untilCurrentRead() <= Duration::zero())
             co_await sleepFor(m_options.staleRetryDelay);
     }
 }
--- a/packages/placement/include/anvilwalk/placement/AdmissionController.h
+++ b/packages/placement/include/anvilwalk/placement/AdmissionController.h
@@ -27,14 +27,11 @@
     // ones show that there is no room elsewhere either.
     DataCentreId dataCentre;
     // One request in work and one waiting keep a slot busy, and half a request is left for uneven targets; more only
-    // wait. Flows of the highest priority are refused only if queues still grow when the others are refused.
+    // wait. Flows of the highest priority are never refused: targets reject what they have no room for.
     AdmissionRange lessUrgent { .begin = 2.5, .end = 3 };
-    AdmissionRange mostUrgent { .begin = 4, .end = 6 };
     // Averages the load, because a balancer has few requests at a time. Several times a response time, and below the
     // time in which callers notice.
     std::chrono::milliseconds averagingTime { 400 };
-    // Share of the most urgent flows that is always admitted, so that an error of the estimate stops no service.
-    double minAdmitted = 0.1;
     std::uint64_t seed = 0;
 };
 
--- a/packages/placement/include/anvilwalk/placement/TargetChooser.h
+++ b/packages/placement/include/anvilwalk/placement/TargetChooser.h
@@ -17,6 +17,10 @@
     DataCentreId dataCentre;
     // Load added to targets of other data centres, in requests per slot.
     double remotePenalty = 1.5;
+    // Requests in progress per slot of the own data centre, over all balancers, from which on the penalty counts for
+    // all balancers together, so that flows go elsewhere: a request then waits for as long as it runs, which is longer
+    // than a crossing takes. Below that, flows stay where a cut between data centres does not break them.
+    double crossingLoad = 2.0;
     // Load of an open flow without a request in progress, in requests.
     double idleFlowLoad = 0.1;
     // Load factor of a target during its warm-up time.
@@ -85,6 +89,8 @@
     // Sets the load by others of the local or of the remote candidates. On all of them together, the others have as
     // much load as this balancer, which is known now; the summary tells which of them have more.
     void estimateOthers(bool local, MonotonicTime now, const SharedLoadStatus&);
+    // Returns the load added to remote candidates.
+    double remotePenalty(const SharedLoadStatus&) const;
     double ownLoadOf(const Candidate&) const;
     double estimatedLoadOf(const Candidate&) const;
     // Learns the service times from a new summary. The response time of a target without a queue is its service time. A
--- a/packages/placement/src/AdmissionController.cpp
+++ b/packages/placement/src/AdmissionController.cpp
@@ -101,8 +101,7 @@
 double AdmissionController::admittedOf(const ServiceState& state) const
 {
     const auto lessUrgent = static_cast<double>(state.priorities.size() - 1);
-    return lessUrgent * m_options.lessUrgent.shareAt(state.load) + m_options.minAdmitted
-        + (1 - m_options.minAdmitted) * m_options.mostUrgent.shareAt(state.load);
+    return 1 + lessUrgent * m_options.lessUrgent.shareAt(state.load);
 }
 
 double AdmissionController::admittedPriorities(const ServiceName& service) const
--- a/packages/placement/src/TargetChooser.cpp
+++ b/packages/placement/src/TargetChooser.cpp
@@ -133,6 +133,7 @@
 {
     const double others = std::max<double>(sharedLoad.balancers, 2) - 1;
     const double age = std::chrono::duration<double>(now - sharedLoad.takenAt).count();
+    const double penalty = remotePenalty(sharedLoad);
     double ownBusy = 0;
     double sharedBusy = 0;
     double recent = 0;
@@ -157,10 +158,25 @@
             = ownBusy / capacity + excess * remaining + idle * m_options.idleFlowLoad / others / candidate.capacity;
         candidate.recentLoad -= recent / capacity;
         if (!local)
-            candidate.othersLoad += m_options.remotePenalty / (others + 1);
+            candidate.othersLoad += penalty;
     }
 }
 
+double TargetChooser::remotePenalty(const SharedLoadStatus& sharedLoad) const
+{
+    const double balancers = std::max<double>(sharedLoad.balancers, 1);
+    double ownBusy = 0;
+    double slots = 0;
+    for (const Candidate& candidate : m_candidates) {
+        if (!candidate.local)
+            continue;
+        ownBusy += busyOf(candidate.target->activity);
+        slots += std::max<std::uint32_t>(candidate.target->record.slots, 1);
+    }
+    const bool isLoaded = slots > 0 && ownBusy * balancers >= m_options.crossingLoad * slots;
+    return isLoaded ? m_options.remotePenalty / balancers : m_options.remotePenalty;
+}
+
 double TargetChooser::ownLoadOf(const Candidate& candidate) const
 {
     const TargetActivity& activity = candidate.target->activity;
