placement: the choice rests on the own sample again; shared figures are evidence and admission

Cause: no choice by shared loads was better for callers than the own sample. The loads of a summary are those of requests that ended long before; only under overload the middle waits were shorter.

Change: TargetChooser compares own loads; a load summary counts as evidence against targets that are silent for others, and tells admission how many balancers there are.

--- a/packages/discovery/include/anvilwalk/discovery/EvacuationFeed.h
+++ b/packages/discovery/include/anvilwalk/discovery/EvacuationFeed.h
@@ -36,8 +36,9 @@
     // Delay after a stale read that confirmed nothing, because the replica that answered it is behind.
     std::chrono::milliseconds staleRetryDelay { 250 };
     // Delay after the first failed call; doubles with each further failure up to the maximum.
-    std::chrono::milliseconds retryDelay { 200 };
-    std::chrono::milliseconds maxRetryDelay { 2000 };
+    // Long, because most balancers read only when relays are silent too, that is, while the store is away.
+    std::chrono::milliseconds retryDelay { 1000 };
+    std::chrono::milliseconds maxRetryDelay { 4000 };
     std::uint64_t seed = 0;
 };
 
--- a/packages/placement/include/anvilwalk/placement/PlacementExplanation.h
+++ b/packages/placement/include/anvilwalk/placement/PlacementExplanation.h
@@ -64,7 +64,7 @@
     // Requests per slot by this balancer's flows, the new one included; with the factor above and the penalty for
     // another data centre.
     double ownLoad = 0;
-    // The same by the flows of all balancers, without the new one; nullopt without a load summary.
+    // Requests in progress per slot, by the flows of all balancers of the data centre; nullopt without a load summary.
     std::optional<double> load {};
     // Probability that the flow goes to this target; 0 if it may not be chosen now.
     double share = 0;
--- a/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
+++ b/packages/placement/include/anvilwalk/placement/TargetCatalogue.h
@@ -34,15 +34,6 @@
     // Number of responses and sum of their times since the start.
     std::uint64_t responses = 0;
     Duration responseTimeSum { 0 };
-    // Moving count of the opening packets forwarded, as of the last one.
-    double recentOpenings = 0;
-    MonotonicTime lastOpening;
-
-    // Time over which openings are averaged: the interval of the load reports.
-    static constexpr std::chrono::seconds openingsTime { 1 };
-    // Opening packets forwarded per second, over about the last second.
-    double openingsPerSecond(MonotonicTime now) const;
-    void addOpening(MonotonicTime now);
 };
 
 // An entry that was removed from the store, with the version of its last content or a later one.
@@ -98,10 +89,6 @@
     bool evacuated = false;
     TargetActivity activity;
     SharedTargetLoad shared;
-    // Estimated time for which a request occupies a slot, and time of the load summary that it is from; 0 if it is not
-    // known. Modified by TargetChooser only.
-    Duration serviceTime { 0 };
-    MonotonicTime serviceTimeUpdatedAt;
 };
 
 // After the store was restored from an older copy, writers notice the loss and write again what the copy lacks: running
--- a/packages/placement/src/FlowTracker.cpp
+++ b/packages/placement/src/FlowTracker.cpp
@@ -85,10 +85,8 @@
     flow.lastSeen = now;
     if (!flow.tried.contains(token))
         flow.tried.add(token);
-    if (TargetActivity* activity = activityOf(token)) {
+    if (TargetActivity* activity = activityOf(token))
         ++activity->pendingOpenings;
-        activity->addOpening(now);
-    }
 }
 
 void FlowTracker::recordPacket(const PacketFields& fields, Target& target, MonotonicTime now)
--- a/packages/placement/src/TokenRouter.cpp
+++ b/packages/placement/src/TokenRouter.cpp
@@ -25,6 +25,14 @@
         return route.services.back().service;
     }
 
+    double requestsPerSlot(const Target& target)
+    {
+        const TargetActivity& activity = target.activity;
+        const double requests
+            = activity.requestsInProgress + activity.pendingOpenings + target.shared.requestsInProgress;
+        return requests / std::max<std::uint32_t>(target.record.slots, 1);
+    }
+
     ForwardToTarget forwardTo(const Target& target)
     {
         return { .target = {},
@@ -106,7 +114,7 @@
     const bool isNew = tried.count == 0 && fields.openingCopy == 0;
     if (isNew && m_admission != nullptr && !m_admission->admit(*route, service, targets, m_targets.sharedLoad(), now))
         return reset(fields, DropReason::NewFlowLimit);
-    const Target* target = m_chooser.choose(targets, tried, now, m_targets.sharedLoad());
+    const Target* target = m_chooser.choose(targets, tried, now);
     if (target == nullptr) {
         // The flow may be open at the target that its first packet went to, so a copy is not answered by a reset.
         if (isHeldBackByWarmUp(targets, tried, now))
@@ -148,8 +156,11 @@
     const TriedTargets tried = m_flows.triedTargets(key);
     if (tried.count == 0 && m_admission != nullptr)
         explanation.admittedShare = m_admission->admittedShare(*explanation.route, explanation.service);
-    explanation.targets
-        = m_chooser.explain(m_targets.targetsOf(explanation.service), tried, now, explanation.sharedLoad);
+    explanation.targets = m_chooser.explain(m_targets.targetsOf(explanation.service), tried, now);
+    if (explanation.sharedLoad.fresh) {
+        for (TargetExplanation& target : explanation.targets)
+            target.load = requestsPerSlot(*target.target);
+    }
     const bool hasTarget = std::any_of(explanation.targets.begin(), explanation.targets.end(),
         [](const TargetExplanation& target) { return target.rank != TargetRank::Unusable; });
     if (explanation.admittedShare <= 0)
