--- a/packages/placement/include/anvilwalk/placement/AdmissionController.h
+++ b/packages/placement/include/anvilwalk/placement/AdmissionController.h
@@ -26,8 +26,8 @@
     // The load of targets of this data centre counts. Targets elsewhere get flows before these are full, so that full
     // ones show that there is no room elsewhere either.
     DataCentreId dataCentre;
-    // One request in work and two waiting keep a slot busy, also where the load is uneven or its estimate too high; more
-    // only wait. Flows of the highest priority are never refused: targets reject what they have no room for.
+    // One request in work and two waiting keep a slot busy, also where the load is uneven or its estimate too high;
+    // more only wait. Flows of the highest priority are never refused: targets reject what they have no room for.
     AdmissionRange lessUrgent { .begin = 3, .end = 3.5 };
     // Averages the load, because a balancer has few requests at a time. Several times a response time, and below the
     // time in which callers notice.
