--- a/tests/edge/EvacuationViewTest.cpp
+++ b/tests/edge/EvacuationViewTest.cpp
@@ -28,6 +28,7 @@
 std::vector<StoreEntry> entriesOf(const std::vector<DataCentreId>& dataCentres)
 {
     std::vector<StoreEntry> entries;
+    entries.reserve(dataCentres.size());
     for (const DataCentreId& dataCentre : dataCentres)
         entries.push_back({ .name = dataCentre.value(), .version = StoreVersion(5), .content = {}, .error = {} });
     return entries;
@@ -212,8 +213,10 @@
 TEST_CASE("A list that is too long for a heartbeat is not passed on")
 {
     Fixture fixture;
+    constexpr int count = 100;
     std::vector<DataCentreId> many;
-    for (int number = 0; number < 100; ++number)
+    many.reserve(count);
+    for (int number = 0; number < count; ++number)
         many.emplace_back("data-centre-" + std::to_string(number));
     fixture.list(many, 10);
     CHECK(fixture.view.isKnown());
