--- a/review/standins-2/Cases.cpp
+++ b/review/standins-2/Cases.cpp
@@ -466,14 +466,17 @@
     lab.stopTraffic();
     co_await lab.sleep(Milliseconds(5000));
     noteCounts(lab);
+    std::size_t waiting = 0;
     std::size_t atWork = 0;
     for (const SystemReset& reset : lab.systemResets()) {
+        waiting += reset.waiting ? 1 : 0;
         atWork += reset.atWork ? 1 : 0;
         lab.note("FLOW broken: a balancer reset an open flow of route " + reset.route + " at "
-            + std::to_string(lab.seconds(reset.time)) + (reset.atWork ? ", its host was at work on a request" : ""));
+            + std::to_string(lab.seconds(reset.time)) + (reset.waiting ? ", its client waited for an answer" : "")
+            + (reset.atWork ? ", its host was at work on the request" : ""));
     }
-    lab.note("FLOW broken " + std::to_string(lab.systemResets().size()) + " times, " + std::to_string(atWork)
-        + " with a request that was never answered");
+    lab.note("FLOW broken " + std::to_string(lab.systemResets().size()) + " times, " + std::to_string(waiting)
+        + " requests never answered, " + std::to_string(atWork) + " of them run");
     co_return lab.systemResets().empty() ? Held : Broken;
 }
 
--- a/review/standins-2/Lab.cpp
+++ b/review/standins-2/Lab.cpp
@@ -418,6 +418,7 @@
             m_systemResets.push_back({ .route = attempt->route,
                 .key = attempt->key,
                 .time = Clock::now(),
+                .waiting = !attempt->answered,
                 .atWork = host->worksOn(attempt->key) });
         }
         return;
--- a/review/standins-2/Lab.h
+++ b/review/standins-2/Lab.h
@@ -234,7 +234,9 @@
     std::string route;
     FlowKey key;
     Time time;
-    // The host was at work on a request of the flow.
+    // The client was waiting for an answer on the flow, and gets none.
+    bool waiting = false;
+    // The host was at work on that request.
     bool atWork = false;
 };
 
